--- a/src/bin/cobaltshore-adapter.rs
+++ b/src/bin/croftsill-adapter.rs
@@ -4,7 +4,7 @@
 use std::io::{self, BufRead, BufWriter, Write};
 use std::process::ExitCode;
 
-use cobaltshore::wire::Adapter;
+use croftsill::wire::Adapter;
 
 fn serve() -> Result<(), String> {
     let mut adapter = Adapter::default();
@@ -30,7 +30,7 @@
     match serve() {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
-            eprintln!("cobaltshore-adapter: {fault}");
+            eprintln!("croftsill-adapter: {fault}");
             ExitCode::FAILURE
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,7 @@
-//! Decisions of a router that pairs prompt readers with answer writers.
+//! A conductor that pairs prompt readers with answer writers.
 //!
-//! [`api`] is the interface (types only), [`logic`] holds every decision, and [`wire`] translates
-//! the simulator's messages for the adapter program.
+//! [`api`] is the decision module's interface (types only), [`logic`] holds every decision, [`wire`]
+//! translates the simulator's messages for the adapter program, and [`node`] is the real conductor.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
@@ -11,6 +11,7 @@
 
 pub mod api;
 pub mod logic;
+pub mod node;
 pub mod wire;
 
 pub use api::{Action, Event, Settings};
--- /dev/null
+++ b/src/node/attempt.rs
@@ -0,0 +1,390 @@
+//! One exchange with an instance, in the dialect that the fleet speaks, told in the module's terms.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HOST, HeaderMap, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode};
+use serde::Deserialize;
+use tokio::time::{Instant, timeout, timeout_at};
+
+use super::counters::{Counters, add};
+use super::pool::{Connection, Pool, WriteMark};
+use super::relay::StreamBroken;
+use crate::api::{HostId, Load, Micros, Outcome, Role};
+
+/// Silence after which a running stream is taken for dead. Clients are not to wait 5 s for nothing.
+const SILENCE: Duration = Duration::from_millis(4_300);
+/// Most of an answer without a stream that is read.
+const ANSWER_MOST: usize = 256 * 1024;
+/// Most of one line of a stream that is looked at.
+const LINE_MOST: usize = 64 * 1024;
+/// For a probe's answer.
+const PROBE: Duration = Duration::from_millis(250);
+
+/// What a fleet's instances speak.
+#[derive(Clone, Debug)]
+pub enum Dialect {
+    /// The platform's protocol.
+    Platform,
+    /// The public chat completions form; headers to add, such as an authorization.
+    Chat(HeaderMap),
+}
+
+/// What goes on unchanged: the core carries it and does not look inside.
+#[derive(Clone, Debug)]
+pub struct Payload {
+    /// The id that instances know the request by.
+    pub id: Rc<str>,
+    /// Path and query.
+    pub target: hyper::http::uri::PathAndQuery,
+    /// What the body says it is.
+    pub content_type: Option<HeaderValue>,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// What an attempt came to before any event was passed on.
+pub enum First {
+    /// The stream has begun.
+    Began(Events),
+    /// The prompt is read, with so many tokens found kept.
+    Read(f64),
+    /// It ended otherwise.
+    Ended(Outcome),
+}
+
+/// One fleet's instances and how to talk to them.
+pub struct Upstream {
+    pool: Rc<Pool>,
+    dialect: Dialect,
+    counters: Rc<Counters>,
+}
+
+#[derive(Deserialize)]
+struct ReadAnswer {
+    #[serde(default)]
+    cached_tokens: f64,
+}
+
+/// A load report; names as the platform's settings give them on sockets.
+#[derive(Deserialize)]
+struct Report {
+    inflight: Option<f64>,
+    queue: Option<f64>,
+    util: Option<f64>,
+    latency_ms: Option<f64>,
+    x0: Option<f64>,
+    x1: Option<f64>,
+}
+
+fn load(text: &[u8]) -> Option<Load> {
+    let report: Report = serde_json::from_slice(text).ok()?;
+    Some(Load {
+        in_flight: report.inflight,
+        waiting: report.queue,
+        busy: report.util,
+        latency: report.latency_ms.map(|ms| (ms * 1000.0) as Micros),
+        memory: report.x0,
+        waiting_tokens: report.x1.map(|k| k * 1000.0),
+    })
+}
+
+/// The outcome that an answer's head tells when it is neither a stream nor a read.
+fn turned(dialect: &Dialect, status: StatusCode, headers: &HeaderMap) -> Outcome {
+    let never_ran = match dialect {
+        Dialect::Platform => headers.get("not-started").is_some_and(|v| v == "1"),
+        // Public servers turn a request away before it runs with 429 only; a 503 may come after a start.
+        Dialect::Chat(_) => status == StatusCode::TOO_MANY_REQUESTS,
+    };
+    match (never_ran, status) {
+        (true, StatusCode::GONE) => Outcome::NoState,
+        (true, _) => Outcome::Full,
+        _ => Outcome::Error,
+    }
+}
+
+impl Upstream {
+    /// A fleet behind this pool.
+    pub fn new(pool: Rc<Pool>, dialect: Dialect, counters: Rc<Counters>) -> Self {
+        Upstream { pool, dialect, counters }
+    }
+
+    /// Its connections.
+    pub fn pool(&self) -> &Rc<Pool> {
+        &self.pool
+    }
+
+    /// The counters.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// Whether a host is a reader, where states may be left.
+    pub fn reads(&self, host: HostId) -> bool {
+        self.pool.site(host).is_none_or(|s| s.role == Role::Read)
+    }
+
+    /// Whether anything can be held at this fleet's instances.
+    pub fn holds(&self) -> bool {
+        matches!(self.dialect, Dialect::Platform)
+    }
+
+    /// Sends the request to a host and waits until `until` for what it comes to. Dropping the future gives the
+    /// attempt up: its connection closes.
+    pub async fn first(
+        self: &Rc<Self>, host: HostId, payload: &Payload, until: Instant,
+    ) -> (First, Option<Load>) {
+        add(&self.counters.attempts);
+        let mut written = None;
+        match timeout_at(until, self.exchange(host, payload, until, &mut written)).await {
+            Ok((First::Ended(outcome), load)) => {
+                if matches!(outcome, Outcome::Unreachable | Outcome::Broken) {
+                    self.pool.distrust(host);
+                }
+                (First::Ended(outcome), load)
+            }
+            Ok(first) => first,
+            Err(_) => {
+                // A silent host's other connections may be as dead as this one.
+                self.pool.distrust(host);
+                let ran = written.is_some_and(|mark: WriteMark| mark.written());
+                (First::Ended(if ran { Outcome::TimedOut } else { Outcome::Unreachable }), None)
+            }
+        }
+    }
+
+    async fn exchange(
+        self: &Rc<Self>, host: HostId, payload: &Payload, until: Instant, written: &mut Option<WriteMark>,
+    ) -> (First, Option<Load>) {
+        let ended = |outcome| (First::Ended(outcome), None);
+        let (mut connection, response) = loop {
+            *written = None;
+            let Ok(mut connection) = self.pool.connection(host).await else {
+                return ended(Outcome::Unreachable);
+            };
+            let (body, mark) = connection.body(payload.body.clone());
+            *written = Some(mark.clone());
+            let mut request = Request::new(body);
+            self.head(host, payload, until, &mut request);
+            match connection.sender().try_send_request(request).await {
+                Ok(response) => break (connection, response),
+                // The library gives back a request of which it has written nothing; only then, and only for a
+                // kept connection that had just closed, is another one used. Nothing is ever sent twice.
+                Err(mut fault) => {
+                    let untouched = fault.take_message().is_some() && !mark.written();
+                    if !(untouched && !connection.fresh()) {
+                        let ran = mark.written();
+                        return ended(if ran { Outcome::Broken } else { Outcome::Unreachable });
+                    }
+                }
+            }
+        };
+        let (head, body) = response.into_parts();
+        let report = head.headers.get("server-load").and_then(|v| load(v.as_bytes()));
+        if head.status == StatusCode::OK {
+            connection.sender(); // the stream keeps the connection until its end
+            let mut events = Events::new(self.clone(), host, connection, body, head.headers);
+            return match events.open().await {
+                Ok(()) => (First::Began(events), report),
+                Err(outcome) => (First::Ended(outcome), report),
+            };
+        }
+        let whole = Limited::new(body, ANSWER_MOST).collect().await.map(|b| b.to_bytes());
+        if whole.is_ok() {
+            self.pool.keep(host, connection);
+        }
+        match (head.status, whole) {
+            (StatusCode::ACCEPTED, Ok(text)) if self.holds() => {
+                let kept = serde_json::from_slice(&text).map_or(0.0, |a: ReadAnswer| a.cached_tokens);
+                (First::Read(kept), report)
+            }
+            (StatusCode::ACCEPTED, Err(_)) => ended(Outcome::Broken),
+            (status, _) => (First::Ended(turned(&self.dialect, status, &head.headers)), report),
+        }
+    }
+
+    fn head<B>(&self, host: HostId, payload: &Payload, until: Instant, request: &mut Request<B>) {
+        *request.method_mut() = Method::POST;
+        *request.uri_mut() = payload.target.clone().into();
+        let headers = request.headers_mut();
+        if let Dialect::Chat(extra) = &self.dialect {
+            headers.extend(extra.clone());
+        }
+        self.host_header(host, headers);
+        let mut put = |name: &'static str, value: Option<HeaderValue>| {
+            value.map(|value| headers.insert(name, value));
+        };
+        put("request-id", HeaderValue::from_str(&payload.id).ok());
+        put(CONTENT_TYPE.as_str(), payload.content_type.clone());
+        let left = until.saturating_duration_since(Instant::now()).as_millis() as u64;
+        put("request-timeout-ms", Some(left.max(1).into()));
+    }
+
+    fn host_header(&self, host: HostId, headers: &mut HeaderMap) {
+        let addr = self.pool.site(host).and_then(|s| HeaderValue::from_str(&s.addr.to_string()).ok());
+        addr.map(|addr| headers.insert(HOST, addr));
+    }
+
+    /// A call without a body: its answer with the body read, while an answer of any kind came.
+    async fn call(&self, host: HostId, method: Method, path: &str) -> Option<Response<Bytes>> {
+        let mut connection = self.pool.connection(host).await.ok()?;
+        let (body, _) = connection.body(Bytes::new());
+        let mut request = Request::builder().method(method).uri(path).body(body).ok()?;
+        self.host_header(host, request.headers_mut());
+        let response = connection.sender().try_send_request(request).await.ok()?;
+        let (head, body) = response.into_parts();
+        let body = Limited::new(body, ANSWER_MOST).collect().await.ok()?.to_bytes();
+        self.pool.keep(host, connection);
+        Some(Response::from_parts(head, body))
+    }
+
+    /// Lets go of all that is held for the request, by way of one host; whether that host took the call.
+    pub async fn release_at(&self, host: HostId, id: &str) -> bool {
+        let answer = self.call(host, Method::DELETE, &format!("/kv/leases/{id}")).await;
+        answer.is_some_and(|a| a.status().is_success())
+    }
+
+    /// Asks a host how it is.
+    pub async fn probe(&self, host: HostId) -> (Outcome, Option<Load>) {
+        add(&self.counters.probes);
+        match timeout(PROBE, self.call(host, Method::GET, "/-/load")).await {
+            Ok(Some(answer)) if answer.status() == StatusCode::OK => (Outcome::Served, load(answer.body())),
+            Ok(Some(_)) => (Outcome::Error, None),
+            Ok(None) => (Outcome::Unreachable, None),
+            Err(_) => (Outcome::TimedOut, None),
+        }
+    }
+}
+
+/// A running answer.
+pub struct Events {
+    upstream: Rc<Upstream>,
+    host: HostId,
+    connection: Option<Connection>,
+    body: Incoming,
+    head: HeaderMap,
+    ready: Option<Bytes>,
+    scan: Option<Scan>,
+    ended: bool,
+}
+
+impl Events {
+    fn new(
+        upstream: Rc<Upstream>, host: HostId, connection: Connection, body: Incoming, head: HeaderMap,
+    ) -> Self {
+        let streamed = head.get(CONTENT_TYPE).is_some_and(|v| v.as_bytes().starts_with(b"text/event-stream"));
+        let scan = (matches!(upstream.dialect, Dialect::Chat(_)) && streamed).then(Scan::default);
+        Events { upstream, host, connection: Some(connection), body, head, ready: None, scan, ended: false }
+    }
+
+    /// Waits for the first bytes. An answer that breaks, ends or tells an error before them has not begun.
+    async fn open(&mut self) -> Result<(), Outcome> {
+        let first = self.read().await;
+        if self.told_error() {
+            return Err(Outcome::Error);
+        }
+        match first {
+            Some(Ok(bytes)) => {
+                self.ready = Some(bytes);
+                Ok(())
+            }
+            _ => Err(Outcome::Broken),
+        }
+    }
+
+    /// What the answer says it is.
+    pub fn content_type(&self) -> Option<&HeaderValue> {
+        self.head.get(CONTENT_TYPE)
+    }
+
+    /// Whether an event told an error.
+    pub fn told_error(&self) -> bool {
+        self.scan.as_ref().is_some_and(|s| s.error)
+    }
+
+    /// The next bytes as they came; none after the end of a whole stream.
+    pub async fn next(&mut self) -> Option<Result<Bytes, StreamBroken>> {
+        match self.ready.take() {
+            Some(bytes) => Some(Ok(bytes)),
+            None => self.read().await,
+        }
+    }
+
+    async fn read(&mut self) -> Option<Result<Bytes, StreamBroken>> {
+        loop {
+            if self.ended {
+                return None;
+            }
+            match timeout(SILENCE, self.body.frame()).await {
+                Ok(Some(Ok(frame))) => {
+                    // Trailers tell nothing that is passed on.
+                    if let Some(bytes) = frame.into_data().ok().filter(|b| !b.is_empty()) {
+                        self.scan.iter_mut().for_each(|s| s.take(&bytes));
+                        return Some(Ok(bytes));
+                    }
+                }
+                Ok(None) if self.scan.as_ref().is_none_or(|s| s.done || s.error) => {
+                    self.ended = true;
+                    if let Some(connection) = self.connection.take() {
+                        self.upstream.pool.keep(self.host, connection);
+                    }
+                    return None;
+                }
+                // After an error event a break adds nothing: the client has its answer.
+                _ if self.told_error() => {
+                    self.ended = true;
+                    return None;
+                }
+                Ok(None | Some(Err(_))) => return self.broke(),
+                Err(_) => {
+                    self.upstream.pool.distrust(self.host);
+                    return self.broke();
+                }
+            }
+        }
+    }
+
+    fn broke(&mut self) -> Option<Result<Bytes, StreamBroken>> {
+        self.ended = true;
+        self.connection = None;
+        Some(Err(StreamBroken))
+    }
+}
+
+/// Looks for the end mark and for errors in a stream of events, across any cuts; changes nothing.
+#[derive(Default)]
+struct Scan {
+    line: Vec<u8>,
+    done: bool,
+    error: bool,
+}
+
+#[derive(Deserialize)]
+struct MaybeError {
+    error: Option<serde::de::IgnoredAny>,
+}
+
+impl Scan {
+    fn take(&mut self, bytes: &[u8]) {
+        for part in bytes.split_inclusive(|&b| b == b'\n') {
+            if self.line.len() + part.len() <= LINE_MOST {
+                self.line.extend_from_slice(part);
+            }
+            if part.ends_with(b"\n") {
+                let line = std::mem::take(&mut self.line);
+                self.line_ended(line.trim_ascii());
+            }
+        }
+    }
+
+    fn line_ended(&mut self, line: &[u8]) {
+        let Some(data) = line.strip_prefix(b"data:").map(|d| d.trim_ascii()) else { return };
+        let tells = |d| serde_json::from_slice(d).is_ok_and(|m: MaybeError| m.error.is_some());
+        self.done |= data == b"[DONE]";
+        self.error |= data != b"[DONE]" && tells(data);
+    }
+}
--- /dev/null
+++ b/src/node/counters.rs
@@ -0,0 +1,108 @@
+//! Counts of what is taken in, sent and answered.
+
+use std::cell::Cell;
+use std::collections::BTreeMap;
+
+use crate::api::Outcome;
+
+macro_rules! counters {
+    ($($(#[$doc:meta])* $name:ident),* $(,)?) => {
+        /// Counts since the start of the process.
+        #[derive(Debug, Default)]
+        pub struct Counters {
+            $($(#[$doc])* pub $name: Cell<u64>,)*
+        }
+
+        impl Counters {
+            /// All counts by name.
+            pub fn all(&self) -> BTreeMap<&'static str, u64> {
+                BTreeMap::from([$((stringify!($name), self.$name.get())),*])
+            }
+        }
+    };
+}
+
+counters! {
+    /// Requests taken in.
+    taken,
+    /// Requests turned down for their form with a 4xx, never taken in.
+    malformed,
+    /// Requests refused at intake because the conductor was full, never taken in.
+    shed,
+    /// Final answers: a whole stream.
+    served,
+    /// Final answers: a stream that broke after its first event.
+    broken,
+    /// Final answers: the module's refusal.
+    refused,
+    /// Final answers: failed.
+    failed,
+    /// Failed because no decision came by the deadline.
+    overdue,
+    /// Clients that went away first.
+    left,
+    /// Attempts sent to instances.
+    attempts,
+    /// Attempts that ended with a whole stream.
+    attempts_served,
+    /// Attempts that read a prompt.
+    attempts_read,
+    /// Attempts turned away by a full or draining instance.
+    attempts_full,
+    /// Attempts turned away because no state was there to fetch.
+    attempts_no_state,
+    /// Attempts answered with an error.
+    attempts_error,
+    /// Attempts given up for time.
+    attempts_timed_out,
+    /// Attempts whose connection could not be used.
+    attempts_unreachable,
+    /// Attempts whose connection broke.
+    attempts_broken,
+    /// Attempts withdrawn.
+    attempts_cancelled,
+    /// Attempts ordered but never sent.
+    attempts_moot,
+    /// Releases that reached an instance.
+    releases,
+    /// Releases that no instance took in time.
+    releases_lost,
+    /// Connections opened to instances.
+    connects,
+    /// Connections to instances used again.
+    reuses,
+    /// Probes sent.
+    probes,
+    /// Times that the watch on discovery was opened.
+    watches,
+    /// Lists and changes heard from discovery.
+    lists,
+}
+
+/// Adds one.
+pub fn add(counter: &Cell<u64>) {
+    counter.set(counter.get() + 1);
+}
+
+impl Counters {
+    /// Counts how an attempt ended.
+    pub fn attempt_ended(&self, outcome: Outcome) {
+        add(match outcome {
+            Outcome::Served => &self.attempts_served,
+            Outcome::Read => &self.attempts_read,
+            Outcome::Full => &self.attempts_full,
+            Outcome::NoState => &self.attempts_no_state,
+            Outcome::Error => &self.attempts_error,
+            Outcome::TimedOut => &self.attempts_timed_out,
+            Outcome::Unreachable => &self.attempts_unreachable,
+            Outcome::Broken => &self.attempts_broken,
+            Outcome::Cancelled => &self.attempts_cancelled,
+            Outcome::Moot => &self.attempts_moot,
+        });
+    }
+
+    /// All counts as one line of JSON.
+    pub fn line(&self) -> String {
+        serde_json::to_string(&self.all()).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/src/node/discovery.rs
@@ -0,0 +1,224 @@
+//! Following discovery: the whole list first, then a watch on what changes.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Empty};
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde::Deserialize;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::counters::add;
+use super::pool::Site;
+use super::{Clock, Core};
+use crate::api::*;
+use crate::wire::Names;
+
+/// Silence after which a watch is given up: an empty line is due every 2 s.
+const SILENCE: Duration = Duration::from_millis(4_500);
+/// For discovery to take a connection and to answer.
+const ANSWER: Duration = Duration::from_millis(1_500);
+/// Between tries.
+const AGAIN: Duration = Duration::from_millis(250);
+/// Longest line or list that is read.
+const MOST: usize = 4 * 1024 * 1024;
+
+/// A list of targets, whole or only its changes.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Targets {
+    version: u64,
+    full: bool,
+    servers: Vec<Target>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct Target {
+    id: String,
+    addr: SocketAddr,
+    zone: String,
+    kind: String,
+    #[serde(default)]
+    cell: i64,
+    state: State,
+    #[serde(default)]
+    started_ms: i64,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+enum State {
+    Ready,
+    Terminating,
+    Gone,
+}
+
+/// Why a watch ended.
+#[derive(Debug, thiserror::Error)]
+pub enum WatchError {
+    /// No connection.
+    #[error("cannot connect: {0}")]
+    Connect(std::io::Error),
+    /// The exchange failed.
+    #[error("{0}")]
+    Http(#[from] hyper::Error),
+    /// Not the answer that is meant to come.
+    #[error("answered {0}")]
+    Status(StatusCode),
+    /// A line that is no list.
+    #[error("not a list: {0}")]
+    Form(#[from] serde_json::Error),
+    /// A line without end.
+    #[error("a list of over {MOST} bytes")]
+    TooLong,
+    /// Nothing came for too long.
+    #[error("silent")]
+    Silent,
+    /// It ended.
+    #[error("ended")]
+    Ended,
+}
+
+/// Takes lists in for a fleet: hosts to its planner, addresses to its pool.
+pub struct Directory {
+    core: Core,
+    settings: Settings,
+    names: Names,
+    clock: Clock,
+    ids: HashMap<String, HostId>,
+    version: Option<u64>,
+}
+
+impl Directory {
+    /// An empty directory.
+    pub fn new(core: Core, settings: Settings, names: Names, clock: Clock) -> Self {
+        Directory { core, settings, names, clock, ids: HashMap::new(), version: None }
+    }
+
+    /// The same number for the same id at every conductor, whatever its order among the rest.
+    fn host(&mut self, id: &str) -> HostId {
+        if let Some(&host) = self.ids.get(id) {
+            return host;
+        }
+        let numbers = (0..).map(|seed| HostId(xxh3_64_with_seed(id.as_bytes(), seed) as u32));
+        let free = numbers.into_iter().find(|n| !self.ids.values().any(|taken| taken == n));
+        let host = free.unwrap_or_default();
+        self.ids.insert(id.to_owned(), host);
+        host
+    }
+
+    /// Takes a list in at once: what drains or is gone must not wait.
+    pub fn take(&mut self, list: &Targets) {
+        add(&self.core.counters.lists);
+        self.version = Some(list.version);
+        let mut members = Vec::new();
+        for target in &list.servers {
+            let host = self.host(&target.id);
+            let zone = self.names.zones.iter().position(|z| *z == target.zone);
+            let kind = self.names.kinds.iter().position(|k| *k == target.kind);
+            let (Some(zone), Some(kind)) = (zone, kind) else {
+                tracing::warn!("discovery: {} has an unknown zone or kind, passed over", target.id);
+                continue;
+            };
+            let phase = match target.state {
+                State::Ready => Phase::Serving,
+                State::Terminating => Phase::Draining,
+                State::Gone => Phase::Gone,
+            };
+            let (role, ready) = (self.settings.kinds[kind].role, phase == Phase::Serving);
+            let site = Site { addr: target.addr, role, ready };
+            self.core.upstream.pool().place(host, Some(site).filter(|_| phase != Phase::Gone));
+            members.push(Member {
+                host,
+                zone: ZoneId(zone),
+                cell: CellId(target.cell),
+                kind: KindId(kind),
+                phase,
+                started: self.clock.started(target.started_ms),
+            });
+        }
+        if list.full {
+            let pool = self.core.upstream.pool();
+            let named = |host: &HostId| members.iter().any(|m| m.host == *host);
+            pool.hosts().into_iter().filter(|h| !named(h)).for_each(|host| pool.place(host, None));
+        }
+        self.core.planner.hosts(list.full, members);
+    }
+
+    /// Follows discovery for ever; `told` turns true with the first list.
+    pub async fn follow(mut self, addr: SocketAddr, told: watch::Sender<bool>) {
+        loop {
+            add(&self.core.counters.watches);
+            let ended = self.watch(addr, &told).await.err().unwrap_or(WatchError::Ended);
+            tracing::warn!("discovery: watch lost, {ended}; trying again");
+            self.core.planner.hosts_failed();
+            sleep(AGAIN).await;
+        }
+    }
+
+    async fn watch(&mut self, addr: SocketAddr, told: &watch::Sender<bool>) -> Result<(), WatchError> {
+        let since = match self.version.filter(|_| *told.borrow()) {
+            Some(version) => version,
+            None => {
+                let mut body = get(addr, "/api/targets").await?;
+                let mut text = BytesMut::new();
+                while let Some(part) = piece(&mut body, ANSWER).await? {
+                    text.extend_from_slice(&part);
+                    if text.len() > MOST {
+                        return Err(WatchError::TooLong);
+                    }
+                }
+                let list: Targets = serde_json::from_slice(&text)?;
+                self.take(&list);
+                told.send_replace(true);
+                list.version
+            }
+        };
+        let mut body = get(addr, &format!("/api/targets?follow=1&since={since}")).await?;
+        let mut text = BytesMut::new();
+        while let Some(part) = piece(&mut body, SILENCE).await? {
+            text.extend_from_slice(&part);
+            while let Some(end) = text.iter().position(|&b| b == b'\n') {
+                let line = text.split_to(end + 1);
+                if !line.trim_ascii().is_empty() {
+                    self.take(&serde_json::from_slice(&line)?);
+                }
+            }
+            if text.len() > MOST {
+                return Err(WatchError::TooLong);
+            }
+        }
+        Ok(())
+    }
+}
+
+async fn get(addr: SocketAddr, path: &str) -> Result<Incoming, WatchError> {
+    let exchange = async {
+        let socket = TcpStream::connect(addr).await.map_err(WatchError::Connect)?;
+        let (mut sender, connection) = http1::handshake(TokioIo::new(socket)).await?;
+        // It ends with the answer's body, or when that is dropped.
+        tokio::task::spawn_local(connection);
+        let request = Request::get(path).header("host", addr.to_string()).body(Empty::<Bytes>::new());
+        let Ok(request) = request else { return Err(WatchError::Ended) };
+        let answer = sender.send_request(request).await?;
+        match answer.status() {
+            StatusCode::OK => Ok(answer.into_body()),
+            other => Err(WatchError::Status(other)),
+        }
+    };
+    timeout(ANSWER, exchange).await.unwrap_or(Err(WatchError::Silent))
+}
+
+async fn piece(body: &mut Incoming, within: Duration) -> Result<Option<Bytes>, WatchError> {
+    match timeout(within, body.frame()).await {
+        Err(_) => Err(WatchError::Silent),
+        Ok(None) => Ok(None),
+        Ok(Some(frame)) => Ok(Some(frame?.into_data().unwrap_or_default())),
+    }
+}
--- /dev/null
+++ b/src/node/front/mod.rs
@@ -0,0 +1,191 @@
+//! Fronts: each reads requests in its own protocol and puts answers into its own words.
+
+pub mod platform;
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Either, Full};
+use hyper::body::{Body, Frame, Incoming};
+use hyper::server::conn::http1;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::service::TowerToHyperService;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+use tower::Service;
+
+use super::relay::{Piece, StreamBroken};
+use super::shutdown::Shutdown;
+
+/// Largest body of a request.
+pub const BODY_MOST: usize = 256 * 1024;
+/// How much of a body that is too large is read to keep the connection usable.
+const DISCARD_MOST: usize = 2 * 1024 * 1024;
+/// For a client to send a body it has begun.
+const BODY_TIME: Duration = Duration::from_secs(10);
+/// For a client to send a head, or to stay idle between requests.
+const HEAD_TIME: Duration = Duration::from_secs(90);
+/// Buffer of a client's connection.
+const BUFFER: usize = 32 * 1024;
+/// Connections past the limit that are still taken, to be told so and closed.
+const SPARE: usize = 16;
+
+/// A front's answer: whole, or a stream.
+pub type Reply = Response<Either<Full<Bytes>, Pieces>>;
+
+/// A stream's body: pieces as they come, cut off where the stream broke.
+pub struct Pieces(mpsc::Receiver<Piece>);
+
+impl Pieces {
+    /// The body for a stream.
+    pub fn new(pieces: mpsc::Receiver<Piece>) -> Self {
+        Pieces(pieces)
+    }
+
+    /// The whole of it in one piece.
+    pub async fn whole(mut self) -> Result<Bytes, StreamBroken> {
+        let mut text = BytesMut::new();
+        while let Some(piece) = self.0.recv().await {
+            text.extend_from_slice(&piece?);
+        }
+        Ok(text.freeze())
+    }
+}
+
+impl Body for Pieces {
+    type Data = Bytes;
+    type Error = StreamBroken;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>, cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, StreamBroken>>> {
+        self.0.poll_recv(cx).map(|piece| piece.map(|p| p.map(Frame::data)))
+    }
+}
+
+/// Room for what clients bring.
+pub struct Intake {
+    connections: Cell<usize>,
+    most_connections: usize,
+    bytes: Cell<usize>,
+    most_bytes: usize,
+}
+
+/// Bytes of a body that are held, given back when dropped.
+pub struct BodyRoom(Rc<Intake>, usize);
+
+impl Drop for BodyRoom {
+    fn drop(&mut self) {
+        self.0.bytes.set(self.0.bytes.get() - self.1);
+    }
+}
+
+impl Intake {
+    /// Room for so many connections and so many bytes of bodies.
+    pub fn new(most_connections: usize, most_bytes: usize) -> Rc<Self> {
+        Rc::new(Intake { connections: Cell::new(0), most_connections, bytes: Cell::new(0), most_bytes })
+    }
+
+    /// Whether more clients are connected than are served.
+    pub fn crowded(&self) -> bool {
+        self.connections.get() > self.most_connections
+    }
+
+    /// Room for a body, if there is any.
+    pub fn room(self: &Rc<Self>, bytes: usize) -> Option<BodyRoom> {
+        let total = self.bytes.get() + bytes;
+        (total <= self.most_bytes).then(|| {
+            self.bytes.set(total);
+            BodyRoom(self.clone(), bytes)
+        })
+    }
+}
+
+/// Why a request's body was not taken.
+#[derive(Debug, thiserror::Error)]
+pub enum BodyError {
+    /// It is too large.
+    #[error("the body is over {BODY_MOST} bytes")]
+    TooLarge,
+    /// It took too long.
+    #[error("the body took over {} s to arrive", BODY_TIME.as_secs())]
+    Slow,
+    /// The connection broke within it.
+    #[error("the body broke off: {0}")]
+    Broken(#[from] hyper::Error),
+}
+
+/// Reads a body whole. What is too large is read past, so that the connection can go on.
+pub async fn read_body(body: &mut Incoming) -> Result<Bytes, BodyError> {
+    let expected = body.size_hint().lower() as usize;
+    let read = async {
+        let mut text = BytesMut::with_capacity(expected.min(BODY_MOST));
+        let mut seen = 0;
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame?.into_data() else { continue };
+            seen += data.len();
+            if seen > DISCARD_MOST {
+                return Err(BodyError::TooLarge);
+            }
+            if seen <= BODY_MOST {
+                text.extend_from_slice(&data);
+            }
+        }
+        if seen > BODY_MOST { Err(BodyError::TooLarge) } else { Ok(text.freeze()) }
+    };
+    timeout(BODY_TIME, read).await.unwrap_or(Err(BodyError::Slow))
+}
+
+/// Serves connections until the process has ended.
+pub async fn serve<S>(listener: TcpListener, intake: Rc<Intake>, shutdown: Shutdown, service: S)
+where
+    S: Service<Request<Incoming>, Response = Reply, Error = Infallible> + Clone + 'static,
+{
+    loop {
+        if intake.connections.get() >= intake.most_connections + SPARE {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+            continue;
+        }
+        let socket = match listener.accept().await {
+            Ok((socket, _)) => socket,
+            Err(fault) => {
+                tracing::warn!("intake: cannot accept a connection: {fault}");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                continue;
+            }
+        };
+        let _ = socket.set_nodelay(true);
+        intake.connections.set(intake.connections.get() + 1);
+        let (intake, shutdown, service) = (intake.clone(), shutdown.clone(), service.clone());
+        tokio::task::spawn_local(async move {
+            let pending = shutdown.pending();
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEAD_TIME)
+                .max_buf_size(BUFFER)
+                .serve_connection(TokioIo::new(socket), TowerToHyperService::new(service));
+            tokio::pin!(connection);
+            // A client that breaks off, or a stream that broke, is told by the request's own task.
+            let ended = tokio::select! {
+                ended = &mut connection => ended,
+                () = shutdown.begun() => {
+                    // A connection opened from now on still brings one request.
+                    connection.as_mut().graceful_shutdown();
+                    connection.await
+                }
+            };
+            if let Err(fault) = ended {
+                tracing::debug!("intake: connection ended: {fault}");
+            }
+            intake.connections.set(intake.connections.get() - 1);
+            drop(pending);
+        });
+    }
+}
--- /dev/null
+++ b/src/node/front/platform.rs
@@ -0,0 +1,276 @@
+//! The platform's front: its headers in, its status codes out.
+
+use std::cell::RefCell;
+use std::collections::{HashSet, VecDeque};
+use std::convert::Infallible;
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http_body_util::{Either, Full};
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
+use hyper::{Method, Request, Response, StatusCode};
+use tokio::sync::watch;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{BodyError, Intake, Pieces, Reply, read_body};
+use crate::api::*;
+use crate::node::Core;
+use crate::node::attempt::Payload;
+use crate::node::counters::add;
+use crate::node::request::{Answer, Caller, live};
+use crate::node::shutdown::Shutdown;
+use crate::wire::Names;
+
+/// Ids remembered after their requests have ended, to turn repeats down.
+const REMEMBERED: usize = 8_192;
+/// Longest id taken.
+const ID_MOST: usize = 128;
+/// Longest time a client may ask for, in milliseconds.
+const TIMEOUT_MOST: u64 = 3_600_000;
+/// Taken off a client's patience for the way of request and answer.
+const ON_THE_WAY: Micros = 5_000;
+
+/// Why a request was turned down before it was taken in.
+#[derive(Debug, thiserror::Error)]
+pub enum Malformed {
+    /// A header is missing.
+    #[error("the header {0} is missing")]
+    Missing(&'static str),
+    /// A header does not have its form.
+    #[error("the header {0} must be {1}")]
+    Unfit(&'static str, &'static str),
+    /// Nobody knows the class.
+    #[error("unknown class \"{0}\"")]
+    Class(String),
+    /// The id was seen before.
+    #[error("the request id \"{0}\" was used before")]
+    Duplicate(String),
+    /// The body was not taken.
+    #[error("{0}")]
+    Body(#[from] BodyError),
+    /// Not a path of this program.
+    #[error("no such path")]
+    Path,
+    /// The path does not take this method.
+    #[error("this path takes {0}")]
+    Method(&'static str),
+}
+
+impl Malformed {
+    fn status(&self) -> StatusCode {
+        match self {
+            Malformed::Duplicate(_) => StatusCode::CONFLICT,
+            Malformed::Body(BodyError::TooLarge) => StatusCode::PAYLOAD_TOO_LARGE,
+            Malformed::Body(BodyError::Slow) => StatusCode::REQUEST_TIMEOUT,
+            Malformed::Path => StatusCode::NOT_FOUND,
+            Malformed::Method(_) => StatusCode::METHOD_NOT_ALLOWED,
+            _ => StatusCode::BAD_REQUEST,
+        }
+    }
+}
+
+/// Ids in use, and the last that were.
+#[derive(Default)]
+struct Ids {
+    known: HashSet<Rc<str>>,
+    order: VecDeque<Rc<str>>,
+}
+
+impl Ids {
+    fn is_new(&mut self, id: &Rc<str>) -> bool {
+        let new = self.known.insert(id.clone());
+        if new {
+            self.order.push_back(id.clone());
+            if self.order.len() > REMEMBERED {
+                if let Some(old) = self.order.pop_front() {
+                    self.known.remove(&old);
+                }
+            }
+        }
+        new
+    }
+}
+
+/// The platform's front, as a service over HTTP.
+#[derive(Clone)]
+pub struct PlatformFront {
+    core: Core,
+    names: Rc<Names>,
+    intake: Rc<Intake>,
+    ready: watch::Receiver<bool>,
+    shutdown: Shutdown,
+    ids: Rc<RefCell<Ids>>,
+}
+
+impl PlatformFront {
+    /// A front before this core; it says that it is ready once `ready` is true.
+    pub fn new(
+        core: Core, names: Names, intake: Rc<Intake>, ready: watch::Receiver<bool>, shutdown: Shutdown,
+    ) -> Self {
+        PlatformFront { core, names: Rc::new(names), intake, ready, shutdown, ids: Rc::default() }
+    }
+
+    async fn handle(self, request: Request<Incoming>) -> Reply {
+        let mut reply = match (request.method(), request.uri().path()) {
+            (_, "/v1/chat/completions") => match self.complete(request).await {
+                Ok(reply) => reply,
+                Err(fault) => {
+                    add(&self.core.counters.malformed);
+                    tracing::debug!("intake: turned down: {fault}");
+                    plain(fault.status(), format!("{fault}\n"))
+                }
+            },
+            (&Method::GET, "/-/ready") if *self.ready.borrow() => plain(StatusCode::OK, "ready\n"),
+            (&Method::GET, "/-/ready") => {
+                plain(StatusCode::SERVICE_UNAVAILABLE, "no list of instances yet\n")
+            }
+            (&Method::GET, "/-/counters") => plain(StatusCode::OK, self.core.counters.line() + "\n"),
+            (_, "/-/ready" | "/-/counters") => {
+                plain(StatusCode::METHOD_NOT_ALLOWED, format!("{}\n", Malformed::Method("GET")))
+            }
+            _ => plain(StatusCode::NOT_FOUND, format!("{}\n", Malformed::Path)),
+        };
+        if self.shutdown.ending() || self.intake.crowded() {
+            reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        reply
+    }
+
+    async fn complete(&self, mut request: Request<Incoming>) -> Result<Reply, Malformed> {
+        let arrived = tokio::time::Instant::now();
+        if request.method() != Method::POST {
+            return Err(Malformed::Method("POST"));
+        }
+        let body = read_body(request.body_mut()).await?;
+        let id: Rc<str> = id(request.headers())?.into();
+        let mut ask = ask(request.headers(), &self.names)?;
+        if !self.ids.borrow_mut().is_new(&id) {
+            return Err(Malformed::Duplicate(id.to_string()));
+        }
+        // Never taken in, so trying again is harmless.
+        let Some(room) = self.intake.room(body.len()).filter(|_| !self.intake.crowded()) else {
+            add(&self.core.counters.shed);
+            return Ok(refusal(Some(1_000_000)));
+        };
+        ask.time_left -= arrived.elapsed().as_micros() as Micros + ON_THE_WAY;
+        let target = request.uri().path_and_query().cloned().ok_or(Malformed::Path)?;
+        let content_type = request.headers().get(CONTENT_TYPE).cloned();
+        let payload = Payload { id, target, content_type, body };
+        let (caller, answer) = Caller::new();
+        // A task of its own: this future is dropped when the client leaves, and the request still has to be
+        // withdrawn and let go of.
+        let (core, pending) = (self.core.clone(), self.shutdown.pending());
+        tokio::task::spawn_local(async move {
+            live(core, ask, payload, caller).await;
+            drop((room, pending));
+        });
+        Ok(match answer.await {
+            Ok(Answer::Events { content_type, pieces }) => stream(content_type, pieces),
+            Ok(Answer::Refused { come_back }) => refusal(come_back),
+            Ok(Answer::Failed) | Err(_) => {
+                plain(StatusCode::BAD_GATEWAY, "the request failed and may have run\n")
+            }
+        })
+    }
+}
+
+impl tower::Service<Request<Incoming>> for PlatformFront {
+    type Response = Reply;
+    type Error = Infallible;
+    type Future = Pin<Box<dyn Future<Output = Result<Reply, Infallible>>>>;
+
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, request: Request<Incoming>) -> Self::Future {
+        let front = self.clone();
+        Box::pin(async move { Ok(front.handle(request).await) })
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a str>, Malformed> {
+    let value = headers.get(name).map(|v| v.to_str().map_err(|_| Malformed::Unfit(name, "plain text")));
+    Ok(value.transpose()?.map(str::trim).filter(|v| !v.is_empty()))
+}
+
+fn needed<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<&'a str, Malformed> {
+    text(headers, name)?.ok_or(Malformed::Missing(name))
+}
+
+fn id(headers: &HeaderMap) -> Result<&str, Malformed> {
+    let id = needed(headers, "Request-Id")?;
+    let fits = |c: char| c.is_ascii_alphanumeric() || "-_.~".contains(c);
+    if id.len() > ID_MOST || !id.chars().all(fits) {
+        return Err(Malformed::Unfit("Request-Id", "at most 128 letters, digits and -_.~"));
+    }
+    Ok(id)
+}
+
+/// Takes out of a head what the decisions need.
+fn ask(headers: &HeaderMap, names: &Names) -> Result<NewRequest, Malformed> {
+    let class = needed(headers, "Request-Class")?;
+    let class =
+        names.classes.iter().position(|c| c == class).ok_or_else(|| Malformed::Class(class.into()))?;
+    let time =
+        needed(headers, "Request-Timeout-Ms")?.parse().ok().filter(|ms| (1..=TIMEOUT_MOST).contains(ms));
+    let time: u64 =
+        time.ok_or(Malformed::Unfit("Request-Timeout-Ms", "whole milliseconds from 1 to 3600000"))?;
+    let mut ask =
+        NewRequest { class: ClassId(class), time_left: time as Micros * 1_000, ..NewRequest::default() };
+    info(needed(headers, "Request-Info")?, &mut ask).ok_or(Malformed::Unfit(
+        "Request-Info",
+        "prompt_len=N,max_out=N and, with an opening, prefix=ID,prefix_len=N",
+    ))?;
+    ask.session = text(headers, "Affinity-Key")?.map(|key| TextKey(xxh3_64(key.as_bytes())));
+    match text(headers, "Client-Retry")? {
+        None => {}
+        Some("again") => ask.resumed = true,
+        Some("1") => ask.again = true,
+        Some(_) => return Err(Malformed::Unfit("Client-Retry", "1 or again")),
+    }
+    Ok(ask)
+}
+
+fn info(text: &str, ask: &mut NewRequest) -> Option<()> {
+    let (mut prompt, mut most) = (None, None);
+    for pair in text.split(',') {
+        let (key, value) = pair.trim().split_once('=')?;
+        let tokens = || value.parse::<u32>().ok().map(f64::from);
+        match key {
+            "prefix" if value.is_empty() || value == "0" => {}
+            "prefix" => ask.prefix = Some(TextKey(xxh3_64(value.as_bytes()))),
+            "prefix_len" => ask.prefix_tokens = tokens()?,
+            "prompt_len" => prompt = Some(tokens()?),
+            "max_out" => most = Some(tokens()?),
+            _ => {}
+        }
+    }
+    (ask.prompt_tokens, ask.most_tokens) = (prompt?, most?);
+    (ask.prefix_tokens <= ask.prompt_tokens).then_some(())
+}
+
+fn plain(status: StatusCode, text: impl Into<Bytes>) -> Reply {
+    let mut reply = Response::new(Either::Left(Full::new(text.into())));
+    *reply.status_mut() = status;
+    reply.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    reply
+}
+
+fn refusal(come_back: Option<Micros>) -> Reply {
+    let mut reply = plain(StatusCode::TOO_MANY_REQUESTS, "refused: trying again is harmless\n");
+    let seconds = come_back.and_then(|us| HeaderValue::from_str(&(us as f64 / 1e6).to_string()).ok());
+    seconds.map(|seconds| reply.headers_mut().insert(RETRY_AFTER, seconds));
+    reply
+}
+
+fn stream(content_type: Option<HeaderValue>, pieces: tokio::sync::mpsc::Receiver<super::Piece>) -> Reply {
+    let mut reply = Response::new(Either::Right(Pieces::new(pieces)));
+    let kind = content_type.unwrap_or(HeaderValue::from_static("text/event-stream"));
+    reply.headers_mut().insert(CONTENT_TYPE, kind);
+    reply
+}
--- /dev/null
+++ b/src/node/mod.rs
@@ -0,0 +1,81 @@
+//! The real conductor: fronts take requests in, one task lives each request, planners decide.
+//!
+//! A request passes through the modules in this order: a [`front`] reads and checks it, its task in
+//! [`request`] asks a [`planner`] what to do, [`attempt`] plays one exchange with an instance over a
+//! connection of the [`pool`], [`relay`] passes the stream on, and [`release`] lets go of what is held.
+
+pub mod attempt;
+pub mod config;
+pub mod counters;
+pub mod discovery;
+pub mod front;
+pub mod planner;
+pub mod pool;
+pub mod relay;
+pub mod release;
+pub mod request;
+pub mod shutdown;
+
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use tokio::time::Instant;
+
+use crate::api::Micros;
+
+/// Unix time in microseconds, read once and carried on by the monotonic clock.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    base: Micros,
+    start: Instant,
+}
+
+impl Clock {
+    /// A clock that starts now.
+    pub fn start() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { base: unix.as_micros() as Micros, start: Instant::now() }
+    }
+
+    /// The module's time.
+    pub fn now(&self) -> Micros {
+        self.base + self.start.elapsed().as_micros() as Micros
+    }
+
+    /// A Unix time in milliseconds on the module's clock; none for 0, which means long ago.
+    pub fn started(&self, unix_ms: i64) -> Option<Micros> {
+        (unix_ms > 0).then(|| unix_ms.saturating_mul(1_000))
+    }
+}
+
+/// A duration of the module as the timers take it; one below zero has run out.
+pub fn span(micros: Micros) -> Duration {
+    Duration::from_micros(u64::try_from(micros).unwrap_or(0))
+}
+
+/// One fleet with its planner: all that the requests of one front need.
+#[derive(Clone)]
+pub struct Core {
+    /// Decides.
+    pub planner: planner::Planner,
+    /// Talks to the instances.
+    pub upstream: Rc<attempt::Upstream>,
+    /// Counts.
+    pub counters: Rc<counters::Counters>,
+}
+
+/// Carries out what a planner wants of the fleet as a whole.
+pub async fn tend_fleet(core: Core, mut orders: tokio::sync::mpsc::UnboundedReceiver<planner::FleetOrder>) {
+    while let Some(order) = orders.recv().await {
+        match order {
+            planner::FleetOrder::Close(host) => core.upstream.pool().close_idle(host),
+            planner::FleetOrder::Probe(host) => {
+                let core = core.clone();
+                tokio::task::spawn_local(async move {
+                    let (outcome, load) = core.upstream.probe(host).await;
+                    core.planner.probed(host, outcome, load);
+                });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/node/planner.rs
@@ -0,0 +1,218 @@
+//! The planner: sole owner of a [`Router`]. Events go in, its actions go to the requests' tasks.
+
+use std::cell::Cell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
+
+use super::{Clock, span};
+use crate::api::*;
+use crate::logic::Router;
+
+/// What a planner wants of a request's task.
+#[derive(Debug, PartialEq)]
+pub enum Order {
+    /// Send it to a host; give the attempt up after this long.
+    Send(HostId, Micros),
+    /// Withdraw an attempt.
+    Cancel(AttemptId),
+    /// Final answer: refused, to come back after this long.
+    Refuse(Option<Micros>),
+    /// Final answer: failed.
+    Fail,
+    /// Let go of all that is held for it.
+    Release,
+    /// End its running stream, to be resumed elsewhere.
+    Move,
+    /// The planner knows that the client left and sends nothing more.
+    Parted,
+}
+
+/// What a planner wants of the fleet as a whole.
+#[derive(Debug)]
+pub enum FleetOrder {
+    /// Ask a host how it is.
+    Probe(HostId),
+    /// Close idle connections to a host.
+    Close(HostId),
+}
+
+enum Input {
+    Arrive(NewRequest, UnboundedSender<Order>),
+    Tell(Event),
+    Closed(RequestId),
+}
+
+/// The forwarders' way to a planner.
+#[derive(Clone)]
+pub struct Planner {
+    inputs: UnboundedSender<Input>,
+    next_id: Rc<Cell<u64>>,
+}
+
+impl Planner {
+    /// Starts a planner on the current local task set.
+    pub fn start(settings: Settings, seed: u64, clock: Clock) -> (Self, UnboundedReceiver<FleetOrder>) {
+        let (inputs, inbox) = mpsc::unbounded_channel();
+        let (fleet, fleet_orders) = mpsc::unbounded_channel();
+        let desk = Desk {
+            router: Router::new(settings, seed),
+            clock,
+            seats: HashMap::new(),
+            inputs: inputs.clone(),
+            fleet,
+        };
+        tokio::task::spawn_local(desk.run(inbox));
+        (Planner { inputs, next_id: Rc::default() }, fleet_orders)
+    }
+
+    /// Brings a new request; its id is given here.
+    pub fn arrive(&self, mut ask: NewRequest) -> Seat {
+        let id = RequestId(self.next_id.get() + 1);
+        self.next_id.set(id.0);
+        ask.id = id;
+        let (sender, orders) = mpsc::unbounded_channel();
+        self.put(Input::Arrive(ask, sender));
+        Seat { id, planner: self.clone(), orders }
+    }
+
+    /// Tells the list of hosts, whole or only its changes.
+    pub fn hosts(&self, whole: bool, members: Vec<Member>) {
+        self.put(Input::Tell(Event::Hosts { whole, members }));
+    }
+
+    /// Tells that following the list broke off.
+    pub fn hosts_failed(&self) {
+        self.put(Input::Tell(Event::HostsFailed));
+    }
+
+    /// Tells how a probe ended.
+    pub fn probed(&self, host: HostId, outcome: Outcome, load: Option<Load>) {
+        self.put(Input::Tell(Event::Probed { host, outcome, load }));
+    }
+
+    fn put(&self, input: Input) {
+        // A planner lives as long as the process; the send fails only while that ends.
+        let _ = self.inputs.send(input);
+    }
+}
+
+/// How an attempt ended, for the planner.
+#[derive(Debug, Default)]
+pub struct End {
+    /// Prompt tokens found kept.
+    pub kept: f64,
+    /// Time since it was sent.
+    pub took: Micros,
+    /// The host's report, where one came along.
+    pub load: Option<Load>,
+}
+
+/// A request's place at its planner, given back when dropped.
+pub struct Seat {
+    id: RequestId,
+    planner: Planner,
+    orders: UnboundedReceiver<Order>,
+}
+
+impl Seat {
+    /// The next order; without a planner there is none, and the request has failed.
+    pub async fn next(&mut self) -> Order {
+        self.orders.recv().await.unwrap_or(Order::Fail)
+    }
+
+    /// Tells that an answer's first token is out.
+    pub fn began(&self, attempt: AttemptId, host: HostId, took: Micros) {
+        self.planner.put(Input::Tell(Event::Began { request: self.id, attempt, host, took }));
+    }
+
+    /// Tells how an attempt ended; `last` when the request has its final answer.
+    pub fn ended(&self, attempt: AttemptId, host: HostId, outcome: Outcome, last: bool, end: End) {
+        let End { kept, took, load } = end;
+        let event = Event::Ended { request: self.id, attempt, host, outcome, last, kept, took, load };
+        self.planner.put(Input::Tell(event));
+    }
+
+    /// Tells that the client left; [`Order::Parted`] follows.
+    pub fn left(&self) {
+        self.planner.put(Input::Tell(Event::Left(self.id)));
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.planner.put(Input::Closed(self.id));
+    }
+}
+
+struct Desk {
+    router: Router,
+    clock: Clock,
+    seats: HashMap<RequestId, UnboundedSender<Order>>,
+    inputs: UnboundedSender<Input>,
+    fleet: UnboundedSender<FleetOrder>,
+}
+
+impl Desk {
+    async fn run(mut self, mut inbox: UnboundedReceiver<Input>) {
+        let (mut inputs, mut events, mut actions) = (Vec::new(), Vec::new(), Vec::new());
+        // Everything that has come in is one round, as a batch is for the adapter.
+        while inbox.recv_many(&mut inputs, 256).await > 0 {
+            let mut parted = Vec::new();
+            let mut closed = Vec::new();
+            for input in inputs.drain(..) {
+                match input {
+                    Input::Arrive(ask, seat) => {
+                        self.seats.insert(ask.id, seat);
+                        events.push(Event::Request(ask));
+                    }
+                    Input::Tell(event) => {
+                        if let Event::Left(id) = event {
+                            parted.push(id);
+                        }
+                        events.push(event);
+                    }
+                    Input::Closed(id) => closed.push(id),
+                }
+            }
+            self.router.handle(self.clock.now(), &events, &mut actions);
+            events.clear();
+            for action in actions.drain(..) {
+                self.act(action);
+            }
+            parted.into_iter().for_each(|id| self.order(id, Order::Parted));
+            closed.iter().for_each(|id| drop(self.seats.remove(id)));
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send { request, host, time_out } => self.order(request, Order::Send(host, time_out)),
+            Action::Cancel { request, attempt } => self.order(request, Order::Cancel(attempt)),
+            Action::Refuse { request, come_back } => self.order(request, Order::Refuse(come_back)),
+            Action::Fail(request) => self.order(request, Order::Fail),
+            Action::Release(request) => self.order(request, Order::Release),
+            Action::Move(request) => self.order(request, Order::Move),
+            Action::Probe(host) => drop(self.fleet.send(FleetOrder::Probe(host))),
+            Action::Close(host) => drop(self.fleet.send(FleetOrder::Close(host))),
+            Action::Wake { token, after } => {
+                let inputs = self.inputs.clone();
+                tokio::task::spawn_local(async move {
+                    tokio::time::sleep(span(after)).await;
+                    let _ = inputs.send(Input::Tell(Event::Timer(token)));
+                });
+            }
+            // The list is always followed, and no place can be held ahead on these protocols.
+            Action::List | Action::Follow | Action::Ahead { .. } => {}
+            Action::Log(line) => tracing::info!("planner: {line}"),
+        }
+    }
+
+    /// A request whose task has ended needs no orders.
+    fn order(&self, id: RequestId, order: Order) {
+        if let Some(seat) = self.seats.get(&id) {
+            let _ = seat.send(order);
+        }
+    }
+}
--- /dev/null
+++ b/src/node/pool.rs
@@ -0,0 +1,322 @@
+//! Connections to instances: opened as needed, one request at a time on each, kept while fresh.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, timeout};
+
+use super::counters::{Counters, add};
+use crate::api::{HostId, Role};
+
+/// Idle connections kept for each instance: a usual burst to one, far under its limit.
+const IDLE_MOST: usize = 24;
+/// Read buffer of a connection; events are far smaller.
+const BUFFER: usize = 64 * 1024;
+
+/// No connection came up in time, or none may be opened.
+#[derive(Debug, thiserror::Error)]
+#[error("no connection to the instance")]
+pub struct NoConnection;
+
+/// What the pool may use.
+#[derive(Clone, Debug)]
+pub struct PoolLimits {
+    /// A connection not made within this is none.
+    pub connect: Duration,
+    /// A connection idle for longer is not used again: the instance is about to close it.
+    pub idle: Duration,
+    /// Most connections at once.
+    pub connections: usize,
+}
+
+/// Where an instance listens and what it does.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Site {
+    /// Its address.
+    pub addr: SocketAddr,
+    /// What it does.
+    pub role: Role,
+    /// Whether it may be sent new work.
+    pub ready: bool,
+}
+
+#[derive(Default)]
+struct Shelf {
+    site: Option<Site>,
+    idle: Vec<Connection>,
+    heard: Option<Instant>,
+}
+
+/// How far a request has been written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Written {
+    #[default]
+    No,
+    /// The last byte was handed to the connection's buffer.
+    Handed,
+    /// The buffer with the last byte was flushed to the socket.
+    Yes,
+}
+
+/// Tells whether a request's last byte has been written to the socket.
+#[derive(Clone, Default)]
+pub struct WriteMark(Rc<Cell<Written>>);
+
+impl WriteMark {
+    /// Whether the last byte was written.
+    pub fn written(&self) -> bool {
+        self.0.get() == Written::Yes
+    }
+}
+
+/// A request body in one piece that marks when it has been handed over.
+pub struct Outgoing {
+    data: Option<Bytes>,
+    mark: WriteMark,
+}
+
+impl Body for Outgoing {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>, _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        self.mark.0.set(Written::Handed);
+        Poll::Ready(self.data.take().map(|data| Ok(Frame::data(data))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.data.is_none()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.data.as_ref().map_or(0, |d| d.len() as u64))
+    }
+}
+
+/// A socket that notes when a handed-over body has left the library's buffer: hyper flushes the socket only
+/// once its own buffer is empty. An attempt whose last byte was never written is known never to have run.
+struct Watched {
+    socket: TcpStream,
+    mark: WriteMark,
+}
+
+impl AsyncRead for Watched {
+    fn poll_read(
+        mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Watched {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.socket).poll_write(cx, data)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.socket).poll_write_vectored(cx, data)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.socket.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let flushed = Pin::new(&mut self.socket).poll_flush(cx);
+        if matches!(flushed, Poll::Ready(Ok(()))) && self.mark.0.get() == Written::Handed {
+            self.mark.0.set(Written::Yes);
+        }
+        flushed
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_shutdown(cx)
+    }
+}
+
+/// One connection to an instance. Dropping it closes the socket at once.
+pub struct Connection {
+    sender: SendRequest<Outgoing>,
+    mark: WriteMark,
+    driver: AbortHandle,
+    since: Instant,
+    fresh: bool,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+impl Connection {
+    /// A body for the next request on this connection, and the mark that tells when it is written.
+    pub fn body(&self, data: Bytes) -> (Outgoing, WriteMark) {
+        self.mark.0.set(Written::No);
+        (Outgoing { data: Some(data).filter(|d| !d.is_empty()), mark: self.mark.clone() }, self.mark.clone())
+    }
+
+    /// The sending half.
+    pub fn sender(&mut self) -> &mut SendRequest<Outgoing> {
+        &mut self.sender
+    }
+
+    /// Whether it was opened for the present request.
+    pub fn fresh(&self) -> bool {
+        self.fresh
+    }
+}
+
+/// All connections to one fleet.
+pub struct Pool {
+    shelves: RefCell<BTreeMap<HostId, Shelf>>,
+    limits: PoolLimits,
+    room: Arc<Semaphore>,
+    counters: Rc<Counters>,
+}
+
+impl Pool {
+    /// An empty pool.
+    pub fn new(limits: PoolLimits, counters: Rc<Counters>) -> Self {
+        let room = Arc::new(Semaphore::new(limits.connections));
+        Pool { shelves: RefCell::default(), limits, room, counters }
+    }
+
+    /// Takes in where an instance listens, or that it is gone. A new address makes old connections useless.
+    pub fn place(&self, host: HostId, site: Option<Site>) {
+        let mut shelves = self.shelves.borrow_mut();
+        let shelf = shelves.entry(host).or_default();
+        if shelf.site.as_ref().map(|s| s.addr) != site.as_ref().map(|s| s.addr) {
+            shelf.idle.clear();
+        }
+        shelf.site = site;
+    }
+
+    /// Where an instance listens.
+    pub fn site(&self, host: HostId) -> Option<Site> {
+        self.shelves.borrow().get(&host)?.site.clone()
+    }
+
+    /// The hosts known.
+    pub fn hosts(&self) -> Vec<HostId> {
+        self.shelves.borrow().keys().copied().collect()
+    }
+
+    /// Ready hosts, the likeliest to answer first: those with a connection at hand, last heard from first.
+    pub fn likeliest(&self) -> Vec<HostId> {
+        let shelves = self.shelves.borrow();
+        let ready = shelves.iter().filter(|(_, s)| s.site.as_ref().is_some_and(|site| site.ready));
+        let mut hosts: Vec<_> = ready.map(|(&id, s)| (s.idle.is_empty(), s.heard, id)).collect();
+        hosts.sort_by(|a, b| (a.0, b.1).cmp(&(b.0, a.1)));
+        hosts.into_iter().map(|(_, _, id)| id).collect()
+    }
+
+    /// A connection to the host: an idle one that still stands, else a new one.
+    pub async fn connection(&self, host: HostId) -> Result<Connection, NoConnection> {
+        while let Some(mut kept) = self.take_idle(host) {
+            // Guards against a connection that the instance has closed: the driver knows at once.
+            if kept.sender.ready().await.is_ok() {
+                add(&self.counters.reuses);
+                kept.fresh = false;
+                return Ok(kept);
+            }
+        }
+        let addr = self.site(host).ok_or(NoConnection)?.addr;
+        timeout(self.limits.connect, self.open(addr)).await.unwrap_or(Err(NoConnection))
+    }
+
+    fn take_idle(&self, host: HostId) -> Option<Connection> {
+        let mut shelves = self.shelves.borrow_mut();
+        let idle = &mut shelves.get_mut(&host)?.idle;
+        idle.retain(|c| c.since.elapsed() < self.limits.idle && !c.sender.is_closed());
+        idle.pop()
+    }
+
+    async fn open(&self, addr: SocketAddr) -> Result<Connection, NoConnection> {
+        let permit = self.permit().await?;
+        let socket = TcpStream::connect(addr).await.map_err(|_| NoConnection)?;
+        socket.set_nodelay(true).map_err(|_| NoConnection)?;
+        let mark = WriteMark::default();
+        let io = TokioIo::new(Watched { socket, mark: mark.clone() });
+        let made = http1::Builder::new().max_buf_size(BUFFER).handshake(io).await;
+        let (sender, connection) = made.map_err(|_| NoConnection)?;
+        add(&self.counters.connects);
+        let driver = tokio::task::spawn_local(async move {
+            let _permit: OwnedSemaphorePermit = permit;
+            // Its end shows at the request that used it.
+            let _ = connection.await;
+        });
+        Ok(Connection { sender, mark, driver: driver.abort_handle(), since: Instant::now(), fresh: true })
+    }
+
+    /// Room for one more connection, made by closing the oldest idle one if need be.
+    async fn permit(&self) -> Result<OwnedSemaphorePermit, NoConnection> {
+        if let Ok(permit) = self.room.clone().try_acquire_owned() {
+            return Ok(permit);
+        }
+        let oldest = {
+            let mut shelves = self.shelves.borrow_mut();
+            let idle = shelves.values_mut().filter(|s| !s.idle.is_empty());
+            idle.min_by_key(|s| s.idle[0].since).map(|s| s.idle.remove(0))
+        };
+        drop(oldest);
+        self.room.clone().acquire_owned().await.map_err(|_| NoConnection)
+    }
+
+    /// Keeps a connection on which an exchange has ended whole.
+    pub fn keep(&self, host: HostId, mut connection: Connection) {
+        let mut shelves = self.shelves.borrow_mut();
+        let Some(shelf) = shelves.get_mut(&host) else { return };
+        let now = Instant::now();
+        shelf.heard = Some(now);
+        if !connection.sender.is_closed() && shelf.site.is_some() && shelf.idle.len() < IDLE_MOST {
+            connection.since = now;
+            shelf.idle.push(connection);
+        }
+    }
+
+    /// Closes the idle connections to a host.
+    pub fn close_idle(&self, host: HostId) {
+        if let Some(shelf) = self.shelves.borrow_mut().get_mut(&host) {
+            shelf.idle.clear();
+        }
+    }
+
+    /// Forgets when the host was last heard: something there went silent, and its idle connections may be dead.
+    pub fn distrust(&self, host: HostId) {
+        if let Some(shelf) = self.shelves.borrow_mut().get_mut(&host) {
+            shelf.idle.clear();
+            shelf.heard = None;
+        }
+    }
+
+    /// Closes what has stood idle too long, for ever.
+    pub async fn tidy(&self) {
+        loop {
+            tokio::time::sleep(self.limits.idle / 8).await;
+            for shelf in self.shelves.borrow_mut().values_mut() {
+                shelf.idle.retain(|c| c.since.elapsed() < self.limits.idle && !c.sender.is_closed());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/node/request.rs
@@ -0,0 +1,295 @@
+//! The life of one request, from intake to its one final answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep_until, timeout};
+
+use super::attempt::{First, Payload};
+use super::counters::add;
+use super::planner::{End, Order, Seat};
+use super::relay::{self, Passed, Piece, StreamBroken};
+use super::release::release;
+use super::{Core, span};
+use crate::api::{AttemptId, HostId, Load, Micros, NewRequest, Outcome};
+
+/// Past the deadline, after which a request without a decision is answered as failed. The rules allow more.
+const OVERDUE: Duration = Duration::from_millis(15);
+/// For a release before the next read: a later one would let go of that read's state.
+const RELEASE_FIRST: Duration = Duration::from_millis(250);
+
+/// A request's answer, for a front to put into its own words.
+pub enum Answer {
+    /// A stream or a whole answer of one instance.
+    Events {
+        /// What the instance said that it is.
+        content_type: Option<hyper::header::HeaderValue>,
+        /// Its bytes as they come.
+        pieces: mpsc::Receiver<Piece>,
+    },
+    /// Refused: trying again is harmless.
+    Refused {
+        /// When to come back.
+        come_back: Option<Micros>,
+    },
+    /// Failed.
+    Failed,
+}
+
+/// The way back to the client. It shows when the client leaves.
+pub struct Caller(Option<oneshot::Sender<Answer>>);
+
+impl Caller {
+    /// A caller, and where its front waits for the answer.
+    pub fn new() -> (Self, oneshot::Receiver<Answer>) {
+        let (sender, receiver) = oneshot::channel();
+        (Caller(Some(sender)), receiver)
+    }
+
+    /// Waits until the client leaves; never ends once it has its answer.
+    async fn left(&mut self) {
+        match &mut self.0 {
+            Some(sender) => sender.closed().await,
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Gives the final answer, once; false when the client has left.
+    fn answer(&mut self, answer: Answer) -> bool {
+        self.0.take().is_some_and(|sender| sender.send(answer).is_ok())
+    }
+}
+
+/// What a request's task wakes up for.
+enum Next {
+    Order(Order),
+    ClientLeft,
+    Overdue,
+}
+
+async fn next(seat: &mut Seat, caller: &mut Caller, overdue: Instant, over: bool) -> Next {
+    tokio::select! {
+        biased;
+        order = seat.next() => Next::Order(order),
+        () = caller.left(), if !over => Next::ClientLeft,
+        () = sleep_until(overdue), if !over => Next::Overdue,
+    }
+}
+
+/// What may be held for the request, and the release that is under way.
+struct Held<'a> {
+    core: &'a Core,
+    id: Rc<str>,
+    any: bool,
+    under_way: Option<JoinHandle<()>>,
+}
+
+impl Held<'_> {
+    /// Starts to let go of all that is held.
+    fn release(&mut self) {
+        if std::mem::take(&mut self.any) && self.core.upstream.holds() {
+            let call = release(self.core.upstream.clone(), self.id.clone());
+            self.under_way = Some(tokio::task::spawn_local(call));
+        }
+    }
+
+    /// Before a new read: a `DELETE` frees all that the request holds, so one that arrives late would free the
+    /// new state. It is done, or its connection closed, before the read is sent.
+    async fn settle(&mut self) {
+        self.release();
+        if let Some(mut call) = self.under_way.take()
+            && timeout(RELEASE_FIRST, &mut call).await.is_err()
+        {
+            call.abort();
+            self.any = true;
+        }
+    }
+}
+
+/// Lives one request through. The planner decides at each point of choice; exactly one final answer goes to the
+/// caller, and nothing stays held or sent when this ends.
+pub async fn live(core: Core, ask: NewRequest, payload: Payload, mut caller: Caller) {
+    let deadline = Instant::now() + span(ask.time_left);
+    let overdue = deadline + OVERDUE;
+    let counters = core.counters.clone();
+    let mut held = Held { core: &core, id: payload.id.clone(), any: false, under_way: None };
+    let mut seat = core.planner.arrive(ask);
+    let mut sent = 0;
+    // The client needs no answer any more; the planner has been told so.
+    let mut over = false;
+    add(&counters.taken);
+
+    loop {
+        // 1. Held: the planner says when to go where, or that it gives up.
+        let (host, time_out) = match next(&mut seat, &mut caller, overdue, over).await {
+            Next::Order(Order::Send(host, time_out)) => (host, time_out),
+            Next::Order(Order::Refuse(come_back)) => {
+                if !over {
+                    add(if caller.answer(Answer::Refused { come_back }) {
+                        &counters.refused
+                    } else {
+                        &counters.left
+                    });
+                }
+                break;
+            }
+            Next::Order(Order::Fail) => {
+                if !over {
+                    add(if caller.answer(Answer::Failed) { &counters.failed } else { &counters.left });
+                }
+                break;
+            }
+            Next::Order(Order::Release) => {
+                held.release();
+                continue;
+            }
+            Next::Order(Order::Parted) => break,
+            Next::Order(Order::Cancel(_) | Order::Move) => continue,
+            Next::ClientLeft => {
+                add(&counters.left);
+                (over, _) = (true, seat.left());
+                continue;
+            }
+            Next::Overdue => {
+                tracing::error!("request {}: no decision by its deadline", payload.id);
+                add(&counters.overdue);
+                caller.answer(Answer::Failed);
+                (over, _) = (true, seat.left());
+                continue;
+            }
+        };
+        let attempt = AttemptId(sent);
+        sent += 1;
+        let begun = Instant::now();
+        let ended = |outcome, last, kept, load| {
+            core.counters.attempt_ended(outcome);
+            let took = begun.elapsed().as_micros() as Micros;
+            (outcome, last, End { kept, took, load })
+        };
+        if over {
+            let (outcome, last, end) = ended(Outcome::Moot, true, 0.0, None);
+            seat.ended(attempt, host, outcome, last, end);
+            continue;
+        }
+
+        // 2. The attempt, until it ends, is withdrawn, or its stream begins.
+        let reader = core.upstream.reads(host);
+        if reader {
+            held.settle().await;
+        }
+        let until = (begun + span(time_out)).min(deadline);
+        let (first, load) =
+            attempt_at(&core, (host, attempt, until), &payload, &mut seat, &mut caller, &mut over, overdue)
+                .await;
+        let mut events = match first {
+            First::Began(events) => events,
+            First::Read(kept) => {
+                held.any = true;
+                let (outcome, last, end) = ended(Outcome::Read, over, kept, load);
+                seat.ended(attempt, host, outcome, last, end);
+                if over { break } else { continue }
+            }
+            First::Ended(outcome) => {
+                let ran = !matches!(outcome, Outcome::Full | Outcome::Unreachable | Outcome::Moot);
+                if reader && ran {
+                    // Guards the pin limit: the prompt may have been read although the answer was lost.
+                    held.any = true;
+                    held.release();
+                }
+                let (outcome, last, end) = ended(outcome, over, 0.0, load);
+                seat.ended(attempt, host, outcome, last, end);
+                if over { break } else { continue }
+            }
+        };
+
+        // 3. The stream: it is this client's from its first event on, and no deadline runs any more.
+        held.any = false;
+        seat.began(attempt, host, begun.elapsed().as_micros() as Micros);
+        let (pieces, receiver) = mpsc::channel(relay::WAITING);
+        let content_type = events.content_type().cloned();
+        let passed = if over || !caller.answer(Answer::Events { content_type, pieces: receiver }) {
+            Passed::ClientLeft
+        } else {
+            tokio::select! {
+                passed = relay::pass(&mut events, &pieces) => passed,
+                () = moved(&mut seat) => {
+                    // The client comes again for the rest.
+                    let _ = pieces.try_send(Err(StreamBroken));
+                    Passed::Broken
+                }
+            }
+        };
+        drop((events, pieces));
+        let outcome = match passed {
+            Passed::Whole => (add(&counters.served), Outcome::Served).1,
+            Passed::Broken => (add(&counters.broken), Outcome::Broken).1,
+            Passed::Failed => (add(&counters.failed), Outcome::Error).1,
+            Passed::ClientLeft => {
+                if !over {
+                    add(&counters.left);
+                    seat.left();
+                }
+                Outcome::Cancelled
+            }
+        };
+        let (outcome, last, end) = ended(outcome, true, 0.0, None);
+        seat.ended(attempt, host, outcome, last, end);
+        break;
+    }
+    // Guards against anything left held, whatever the order in which client and planner ended the request.
+    held.release();
+    if let Some(call) = held.under_way.take() {
+        let _ = call.await;
+    }
+}
+
+/// One attempt up to its first event. A client that leaves is told to the planner, which withdraws the attempt.
+async fn attempt_at(
+    core: &Core, (host, attempt, until): (HostId, AttemptId, Instant), payload: &Payload, seat: &mut Seat,
+    caller: &mut Caller, over: &mut bool, overdue: Instant,
+) -> (First, Option<Load>) {
+    let withdrawn = (First::Ended(Outcome::Cancelled), None);
+    let first = core.upstream.first(host, payload, until);
+    tokio::pin!(first);
+    loop {
+        tokio::select! {
+            done = &mut first => return done,
+            next = next(seat, caller, overdue, *over) => match next {
+                Next::Order(Order::Cancel(which)) if which == attempt => return withdrawn,
+                Next::Order(order @ (Order::Refuse(_) | Order::Fail)) => {
+                    // The planner has ended it while an attempt is out: answer, and give the attempt up.
+                    let answer = match order {
+                        Order::Refuse(come_back) => Answer::Refused { come_back },
+                        _ => Answer::Failed,
+                    };
+                    let refused = matches!(answer, Answer::Refused { .. });
+                    if !*over && caller.answer(answer) {
+                        add(if refused { &core.counters.refused } else { &core.counters.failed });
+                    }
+                    *over = true;
+                    return withdrawn;
+                }
+                Next::Order(_) => {}
+                Next::ClientLeft | Next::Overdue => {
+                    add(&core.counters.left);
+                    *over = true;
+                    seat.left();
+                }
+            },
+        }
+    }
+}
+
+/// Waits for an order to move the stream.
+async fn moved(seat: &mut Seat) {
+    loop {
+        match seat.next().await {
+            Order::Move => return,
+            // The planner's end is the process's end; the stream goes on until then.
+            Order::Fail => std::future::pending().await,
+            _ => {}
+        }
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -357,11 +357,21 @@
 }
 
 /// Names that the settings gave, kept to translate later messages.
-struct Names {
-    zones: Vec<String>,
-    kinds: Vec<String>,
-    classes: Vec<String>,
-    tenants: Vec<String>,
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    /// Zones, in the order of their indices.
+    pub zones: Vec<String>,
+    /// Kinds of host.
+    pub kinds: Vec<String>,
+    /// Classes of request.
+    pub classes: Vec<String>,
+    /// Tenants.
+    pub tenants: Vec<String>,
+}
+
+/// Reads the settings object, as the simulator's first message and a conductor's configuration hold it.
+pub fn settings_from(options: Value) -> Result<(Settings, Names), String> {
+    settings(serde_json::from_value(options).map_err(|e| e.to_string())?)
 }
 
 fn class_settings(lane: &Lane, at: usize, family: &FamilyInfo) -> Result<Class, String> {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A router with a small fleet, driven event by event.
 #![allow(dead_code)]
 
-use cobaltshore::Router;
-use cobaltshore::api::*;
+use croftsill::Router;
+use croftsill::api::*;
 
 pub const MS: Micros = 1_000;
 pub const S: Micros = 1_000_000;
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -1,8 +1,8 @@
 //! The admission, the tiers and the pairing.
 mod common;
 
-use cobaltshore::api::*;
 use common::*;
+use croftsill::api::*;
 
 #[test]
 fn a_request_is_read_then_written() {
@@ -144,7 +144,7 @@
 #[test]
 fn the_list_is_asked_for_where_it_must_be_and_again_when_that_failed() {
     let mut rig =
-        Rig { router: cobaltshore::Router::new(Settings { ask_for_list: true, ..settings() }, 1), now: 0 };
+        Rig { router: croftsill::Router::new(Settings { ask_for_list: true, ..settings() }, 1), now: 0 };
     assert_eq!(rig.step(0, &[]), [Action::Follow]);
     assert_eq!(rig.step(S, &[]), []);
     assert_eq!(rig.step(0, &[Event::HostsFailed]), [Action::Follow]);
@@ -188,7 +188,7 @@
 fn a_beginning_is_read_at_few_readers_and_each_session_at_one() {
     let members: Vec<_> = (1..10).map(|h| member(h, 0)).chain([member(WRITER, 1)]).collect();
     let read_at = |router, session| {
-        let mut rig = Rig { router: cobaltshore::Router::new(settings(), router), now: 100 * S };
+        let mut rig = Rig { router: croftsill::Router::new(settings(), router), now: 100 * S };
         rig.step(0, &[Event::Hosts { whole: true, members: members.clone() }]);
         let asked = NewRequest { session: Some(TextKey(session)), ..ask(1) };
         sent_to(&rig.step(0, &[Event::Request(asked)])).unwrap()
@@ -203,7 +203,7 @@
     let members: Vec<_> = (10..14).map(|h| member(h, 1)).chain([member(READER, 0)]).collect();
     let mut taken = std::collections::BTreeMap::new();
     for router in 0..100 {
-        let mut rig = Rig { router: cobaltshore::Router::new(settings(), router), now: 100 * S };
+        let mut rig = Rig { router: croftsill::Router::new(settings(), router), now: 100 * S };
         rig.step(0, &[Event::Hosts { whole: true, members: members.clone() }]);
         rig.request(1);
         *taken.entry(sent_to(&rig.end(1, READER, Outcome::Read)).unwrap()).or_insert(0) += 1;
@@ -226,7 +226,7 @@
     let members: Vec<_> = short.into_iter().chain(spare).collect();
     let mut near = 0;
     for router in 0..100 {
-        let mut rig = Rig { router: cobaltshore::Router::new(settings(), router), now: 100 * S };
+        let mut rig = Rig { router: croftsill::Router::new(settings(), router), now: 100 * S };
         rig.step(0, &[Event::Hosts { whole: true, members: members.clone() }]);
         let reader = sent_to(&rig.request(router)).unwrap();
         near += usize::from(sent_to(&rig.end(router, reader, Outcome::Read)) == Some(WRITER));
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,8 +1,8 @@
 //! The five rules, each through the public interface.
 mod common;
 
-use cobaltshore::api::*;
 use common::*;
+use croftsill::api::*;
 
 fn with_effect(effect: Effect) -> Settings {
     let mut set = settings();
@@ -198,7 +198,7 @@
     let cold = Member { started: Some(130 * S), ..member(1, 0) };
     let mut sends = Vec::new();
     for router in 0..100u64 {
-        let mut rig = Rig { router: cobaltshore::Router::new(settings(), router), now: 100 * S };
+        let mut rig = Rig { router: croftsill::Router::new(settings(), router), now: 100 * S };
         rig.step(0, &[Event::Hosts { whole: true, members: members.clone() }]);
         for n in 0..42 {
             if n == 30 {
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,6 +1,6 @@
 //! The adapter's translation, on the wire's own text.
 
-use cobaltshore::wire::Adapter;
+use croftsill::wire::Adapter;
 
 const OPTIONS: &str = r#"{"accounts":[{"name":"t1","quotaPerS":10.0,"share":1.0}],"balancers":2,"failureDomains":["z1"],
 "familyInfo":{"ahead":false,"aimUsPer1000PromptTokens":[40000.0],"farPrice":0.03,"localRead":false,
@@ -88,7 +88,7 @@
 fn the_adapter_exits_with_a_plain_line_and_no_output_on_bad_input() {
     use std::io::Write;
     use std::process::{Command, Stdio};
-    let mut child = Command::new(env!("CARGO_BIN_EXE_cobaltshore-adapter"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_croftsill-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
@@ -98,13 +98,13 @@
     let output = child.wait_with_output().unwrap();
     assert!(!output.status.success() && output.stdout.is_empty());
     let fault = String::from_utf8(output.stderr).unwrap();
-    assert!(fault.starts_with("cobaltshore-adapter: line 1: missing field `dispatchers`"), "{fault}");
+    assert!(fault.starts_with("croftsill-adapter: line 1: missing field `dispatchers`"), "{fault}");
     assert_eq!(fault.lines().count(), 1);
 }
 
 #[test]
 fn every_action_has_its_text() {
-    use cobaltshore::api::*;
+    use croftsill::api::*;
     let (request, host) = (RequestId(9), HostId(2));
     for (action, text) in [
         (
@@ -128,6 +128,6 @@
         (Action::Wake { token: 7, after: 5_000 }, r#"{"t":"wakeMe","nonce":7,"after":5.0}"#),
         (Action::Log("two".into()), r#"{"t":"noteDown","bodyText":"two"}"#),
     ] {
-        assert_eq!(cobaltshore::wire::action_text(action).unwrap(), text);
+        assert_eq!(croftsill::wire::action_text(action).unwrap(), text);
     }
 }
