--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -50,7 +50,7 @@
 /// What an attempt came to before any event was passed on.
 pub enum First {
     /// The stream has begun.
-    Began(Events),
+    Began(Box<Events>),
     /// The prompt is read, with so many tokens found kept.
     Read(f64),
     /// It ended otherwise.
@@ -176,7 +176,7 @@
                 // kept connection that had just closed, is another one used. Nothing is ever sent twice.
                 Err(mut fault) => {
                     let untouched = fault.take_message().is_some() && !mark.written();
-                    if !(untouched && !connection.fresh()) {
+                    if !untouched || connection.fresh() {
                         let ran = mark.written();
                         return ended(if ran { Outcome::Broken } else { Outcome::Unreachable });
                     }
@@ -186,10 +186,9 @@
         let (head, body) = response.into_parts();
         let report = head.headers.get("server-load").and_then(|v| load(v.as_bytes()));
         if head.status == StatusCode::OK {
-            connection.sender(); // the stream keeps the connection until its end
             let mut events = Events::new(self.clone(), host, connection, body, head.headers);
             return match events.open().await {
-                Ok(()) => (First::Began(events), report),
+                Ok(()) => (First::Began(Box::new(events)), report),
                 Err(outcome) => (First::Ended(outcome), report),
             };
         }
--- a/src/node/front/platform.rs
+++ b/src/node/front/platform.rs
@@ -85,10 +85,10 @@
         let new = self.known.insert(id.clone());
         if new {
             self.order.push_back(id.clone());
-            if self.order.len() > REMEMBERED {
-                if let Some(old) = self.order.pop_front() {
-                    self.known.remove(&old);
-                }
+            if self.order.len() > REMEMBERED
+                && let Some(old) = self.order.pop_front()
+            {
+                self.known.remove(&old);
             }
         }
         new
