Add the chat front on the same core, set up in an operator's file

One whole path: JSON request to class and figures, SSE passed as it comes, whole answers, refusals as 429 with Retry-After, failures as error objects with x-should-retry: false, a closed page as a cancel.

--- a/src/api.rs
+++ b/src/api.rs
@@ -262,6 +262,8 @@
     pub again: bool,
     /// It resumes a stream that broke or was moved.
     pub resumed: bool,
+    /// Its answer comes in one piece, with no sign of a first token.
+    pub whole: bool,
 }
 
 /// What happened.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -632,9 +632,14 @@
         let left = (r.deadline - now).max(1) as f64;
         // A silent host shows only so. The share leaves room for another try, unless all is slow.
         let share = if left * TRY_SHARE > expected * 1.5 { left * TRY_SHARE } else { left };
-        let time_out = (expected * PATIENCE + PATIENCE_EXTRA).min(share) as Micros;
-        r.sent += 1;
-        host.pending.insert(id, now);
+        let mut time_out = (expected * PATIENCE + PATIENCE_EXTRA).min(share) as Micros;
+        (r.sent, r.begun) = (r.sent + 1, now);
+        if r.ask.whole && host.role != Role::Read {
+            // Its silence tells nothing of the host until all is written, so it may take all the time left.
+            time_out = left as Micros;
+        } else {
+            host.pending.insert(id, now);
+        }
         host.next_cold = now.saturating_add(gap);
         out.push(Action::Send { request: id, host: to, time_out: time_out.max(1) });
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,14 +6,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use croftsill::api::{HostId, Member, Role};
 use croftsill::node::attempt::{Dialect, Upstream};
-use croftsill::node::config::{ConfigError, Platform};
+use croftsill::node::config::{Chat, ConfigError, Platform};
 use croftsill::node::counters::Counters;
 use croftsill::node::discovery::Directory;
+use croftsill::node::front::chat::ChatFront;
 use croftsill::node::front::platform::PlatformFront;
 use croftsill::node::front::{Intake, serve};
 use croftsill::node::planner::Planner;
-use croftsill::node::pool::Pool;
+use croftsill::node::pool::{Pool, Site};
 use croftsill::node::shutdown::Shutdown;
 use croftsill::node::{Clock, Core, tend_fleet};
 use tokio::net::TcpListener;
@@ -31,6 +33,8 @@
     Listen(std::net::SocketAddr, std::io::Error),
     #[error("{0}")]
     Io(#[from] std::io::Error),
+    #[error("usage: croftsill [--chat FILE]")]
+    Usage,
 }
 
 async fn start_platform(
@@ -64,24 +68,74 @@
     });
     let intake = Intake::new(config.intake, config.body_bytes);
     let front = PlatformFront::new(core, config.names, intake.clone(), is_ready, shutdown.clone());
-    spawn_local(serve(listener, intake, shutdown.clone(), front));
+    spawn_local(serve(listener, None, intake, shutdown.clone(), move |_| front.clone()));
     tracing::info!("{} listens on {}", config.name, config.listen);
     Ok(())
 }
 
+async fn start_chat(
+    mut config: Chat, clock: Clock, counters: Rc<Counters>, shutdown: &Shutdown,
+) -> Result<(), StartError> {
+    let listener =
+        TcpListener::bind(config.listen).await.map_err(|fault| StartError::Listen(config.listen, fault))?;
+    let seed = clock.now() as u64 ^ u64::from(std::process::id()) << 48;
+    let pool = Rc::new(Pool::new(config.pool.clone(), counters.clone()));
+    let (planner, orders) = Planner::start(config.settings.clone(), seed, clock);
+    let dialect = Dialect::Chat(std::mem::take(&mut config.server_headers));
+    let upstream = Rc::new(Upstream::new(pool.clone(), dialect, counters.clone()));
+    let core = Core { planner, upstream, counters };
+    spawn_local(tend_fleet(core.clone(), orders));
+    let tidied = pool.clone();
+    spawn_local(async move { tidied.tidy().await });
+    let mut members = Vec::new();
+    for (number, (_, addr)) in config.servers.iter().enumerate() {
+        let host = HostId(number as u32);
+        pool.place(host, Some(Site { addr: *addr, role: Role::Both, ready: true }));
+        members.push(Member { host, ..Member::default() });
+    }
+    core.planner.hosts(true, members);
+    let (listen, tls) = (config.listen, config.tls.take());
+    let intake = Intake::new(config.intake, config.body_bytes);
+    let front = ChatFront::new(core, Rc::new(config), intake.clone(), shutdown.clone(), seed);
+    spawn_local(serve(listener, tls, intake, shutdown.clone(), move |peer| front.for_peer(peer)));
+    tracing::info!("chat front listens on {listen}");
+    Ok(())
+}
+
+/// The operator's file, where the program was started as `croftsill --chat FILE`.
+fn chat_file() -> Result<Option<PathBuf>, StartError> {
+    let mut words = std::env::args_os().skip(1);
+    match (words.next(), words.next(), words.next()) {
+        (None, ..) => Ok(None),
+        (Some(flag), Some(file), None) if flag == "--chat" => Ok(Some(file.into())),
+        _ => Err(StartError::Usage),
+    }
+}
+
 async fn run() -> Result<(), StartError> {
     let clock = Clock::start();
-    let (counters, shutdown) = (Rc::new(Counters::default()), Shutdown::default());
+    let shutdown = Shutdown::default();
+    let chat = chat_file()?.map(|path| Chat::read(&path)).transpose()?;
     let platform = std::env::var_os("LB_CONFIG").map(PathBuf::from);
     let platform = platform.map(|path| Platform::read(&path)).transpose()?;
-    if platform.is_none() {
+    if platform.is_none() && chat.is_none() {
         return Err(ConfigError::Nothing.into());
     }
+    let mut counted = Vec::new();
     if let Some(config) = platform {
-        start_platform(config, clock, counters.clone(), &shutdown).await?;
+        let counters = Rc::new(Counters::default());
+        counted.push(("platform", counters.clone()));
+        start_platform(config, clock, counters, &shutdown).await?;
+    }
+    if let Some(config) = chat {
+        let counters = Rc::new(Counters::default());
+        counted.push(("chat", counters.clone()));
+        start_chat(config, clock, counters, &shutdown).await?;
     }
     shutdown.run().await?;
-    tracing::info!("counters {}", counters.line());
+    for (front, counters) in counted {
+        tracing::info!("counters of {front}: {}", counters.line());
+    }
     Ok(())
 }
 
--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -161,7 +161,7 @@
         self: &Rc<Self>, host: HostId, payload: &Payload, until: Instant, written: &mut Option<WriteMark>,
     ) -> (First, Option<Load>) {
         let ended = |outcome| (First::Ended(outcome), None);
-        let (mut connection, response) = loop {
+        let (connection, response) = loop {
             *written = None;
             let Ok(mut connection) = self.pool.connection(host).await else {
                 return ended(Outcome::Unreachable);
@@ -185,8 +185,8 @@
         };
         let (head, body) = response.into_parts();
         let report = head.headers.get("server-load").and_then(|v| load(v.as_bytes()));
-        if head.status == StatusCode::OK {
-            let mut events = Events::new(self.clone(), host, connection, body, head.headers);
+        if head.status == StatusCode::OK || self.is_answer(head.status) {
+            let mut events = Events::new(self.clone(), host, connection, body, (head.status, head.headers));
             return match events.open().await {
                 Ok(()) => (First::Began(Box::new(events)), report),
                 Err(outcome) => (First::Ended(outcome), report),
@@ -206,6 +206,13 @@
         }
     }
 
+    /// A public server's word on the request itself, such as a field that it does not take, is the client's
+    /// answer: another server would say the same.
+    fn is_answer(&self, status: StatusCode) -> bool {
+        let own = [401, 403, 407, 408, 409, 425, 429].contains(&status.as_u16());
+        matches!(self.dialect, Dialect::Chat(_)) && status.is_client_error() && !own
+    }
+
     fn head<B>(&self, host: HostId, payload: &Payload, until: Instant, request: &mut Request<B>) {
         *request.method_mut() = Method::POST;
         *request.uri_mut() = payload.target.clone().into();
@@ -259,13 +266,29 @@
     }
 }
 
+/// What an instance says that its answer is; the core carries it to the front.
+#[derive(Clone, Debug)]
+pub struct Form {
+    /// The status.
+    pub status: StatusCode,
+    /// The type of content.
+    pub content_type: Option<HeaderValue>,
+}
+
+impl Form {
+    /// Whether it comes as a stream of events.
+    pub fn streamed(&self) -> bool {
+        self.content_type.as_ref().is_some_and(|v| v.as_bytes().starts_with(b"text/event-stream"))
+    }
+}
+
 /// A running answer.
 pub struct Events {
     upstream: Rc<Upstream>,
     host: HostId,
     connection: Option<Connection>,
     body: Incoming,
-    head: HeaderMap,
+    form: Form,
     ready: Option<Bytes>,
     scan: Option<Scan>,
     ended: bool,
@@ -273,11 +296,12 @@
 
 impl Events {
     fn new(
-        upstream: Rc<Upstream>, host: HostId, connection: Connection, body: Incoming, head: HeaderMap,
+        upstream: Rc<Upstream>, host: HostId, connection: Connection, body: Incoming,
+        (status, head): (StatusCode, HeaderMap),
     ) -> Self {
-        let streamed = head.get(CONTENT_TYPE).is_some_and(|v| v.as_bytes().starts_with(b"text/event-stream"));
-        let scan = (matches!(upstream.dialect, Dialect::Chat(_)) && streamed).then(Scan::default);
-        Events { upstream, host, connection: Some(connection), body, head, ready: None, scan, ended: false }
+        let form = Form { status, content_type: head.get(CONTENT_TYPE).cloned() };
+        let scan = (matches!(upstream.dialect, Dialect::Chat(_)) && form.streamed()).then(Scan::default);
+        Events { upstream, host, connection: Some(connection), body, form, ready: None, scan, ended: false }
     }
 
     /// Waits for the first bytes. An answer that breaks, ends or tells an error before them has not begun.
@@ -296,8 +320,8 @@
     }
 
     /// What the answer says it is.
-    pub fn content_type(&self) -> Option<&HeaderValue> {
-        self.head.get(CONTENT_TYPE)
+    pub fn form(&self) -> &Form {
+        &self.form
     }
 
     /// Whether an event told an error.
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -1,15 +1,18 @@
 //! What a conductor is told at its start.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
 
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use serde::Deserialize;
 use serde_json::Value;
 
 use super::discovery::Targets;
+use super::front::spiffe::{Identities, Tls};
 use super::pool::PoolLimits;
-use crate::api::Settings;
+use crate::api::{Class, ClassId, Effect, Kind, Micros, Role, Settings};
 use crate::wire::{Names, settings_from};
 
 /// Why a configuration cannot be used; one plain line each.
@@ -142,3 +145,187 @@
         })
     }
 }
+
+/// The chat front as its operator sets it up.
+pub struct Chat {
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Servers, by name.
+    pub servers: Vec<(String, SocketAddr)>,
+    /// The class of each model.
+    pub models: BTreeMap<String, ClassId>,
+    /// The module's settings.
+    pub settings: Settings,
+    /// Most tokens taken for a request that names none.
+    pub default_max_tokens: u32,
+    /// Headers added to what goes to the servers.
+    pub server_headers: HeaderMap,
+    /// How connections to servers are kept.
+    pub pool: PoolLimits,
+    /// Most connections taken from clients at once.
+    pub intake: usize,
+    /// Most bytes of request bodies held at once.
+    pub body_bytes: usize,
+    /// Identities, where clients must prove theirs.
+    pub tls: Option<Identities>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ChatFile {
+    listen: SocketAddr,
+    #[serde(default = "default_max_tokens")]
+    default_max_tokens: u32,
+    #[serde(default = "default_attempts")]
+    max_attempts: u32,
+    #[serde(default = "connect_default")]
+    connect_timeout_ms: f64,
+    #[serde(default = "idle_default")]
+    idle_close_ms: f64,
+    #[serde(default = "default_retry_after")]
+    retry_after_ms: f64,
+    #[serde(default = "default_connections")]
+    client_connections: usize,
+    #[serde(default = "default_connections")]
+    server_connections: usize,
+    servers: Vec<ChatServer>,
+    classes: Vec<ChatClass>,
+    models: BTreeMap<String, String>,
+    #[serde(default)]
+    server_headers: BTreeMap<String, String>,
+    tls: Option<Tls>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ChatServer {
+    name: String,
+    address: SocketAddr,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ChatClass {
+    name: String,
+    effect: ChatEffect,
+    first_token_ms: f64,
+    #[serde(default)]
+    first_token_ms_per_1000: f64,
+    deadline_ms: f64,
+    token_ms: f64,
+    #[serde(default = "default_worth")]
+    worth: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum ChatEffect {
+    Safe,
+    Unsafe,
+}
+
+fn default_max_tokens() -> u32 {
+    800
+}
+
+fn default_attempts() -> u32 {
+    4
+}
+
+fn default_retry_after() -> f64 {
+    2_000.0
+}
+
+fn default_connections() -> usize {
+    128
+}
+
+fn default_worth() -> f64 {
+    1.0
+}
+
+fn micros(ms: f64, what: &str) -> Result<Micros, String> {
+    let fits = (0.0..=86_400_000.0).contains(&ms);
+    fits.then_some((ms * 1_000.0) as Micros).ok_or_else(|| format!("{what}: {ms} ms is out of range"))
+}
+
+impl Chat {
+    /// Reads the operator's file.
+    pub fn read(path: &Path) -> Result<Self, ConfigError> {
+        let shown = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|e| ConfigError::Read(shown.clone(), e))?;
+        let base = path.parent().unwrap_or(Path::new(""));
+        // The parser shows the place over several lines; the log has one.
+        Self::parse(&text, base)
+            .map_err(|e| ConfigError::Form(shown, e.split_whitespace().collect::<Vec<_>>().join(" ")))
+    }
+
+    fn parse(text: &str, base: &Path) -> Result<Self, String> {
+        let file: ChatFile = toml::from_str(text).map_err(|e| e.to_string())?;
+        if file.servers.is_empty() {
+            return Err("servers: at least one is needed".into());
+        }
+        if file.models.is_empty() {
+            return Err("models: at least one is needed".into());
+        }
+        if !(1..=100).contains(&file.max_attempts) {
+            return Err("max_attempts: must lie between 1 and 100".into());
+        }
+        let class = |c: &ChatClass| -> Result<Class, String> {
+            let at = |key: &str| format!("class \"{}\": {key}", c.name);
+            Ok(Class {
+                aim: micros(c.first_token_ms, &at("first_token_ms"))?,
+                aim_per_1000: micros(c.first_token_ms_per_1000, &at("first_token_ms_per_1000"))?,
+                deadline: micros(c.deadline_ms, &at("deadline_ms"))?,
+                token_aim: micros(c.token_ms, &at("token_ms"))?.max(1),
+                worth: c.worth,
+                late_worth: 0.0,
+                effect: match c.effect {
+                    ChatEffect::Safe => Effect::Safe,
+                    ChatEffect::Unsafe => Effect::Unsafe,
+                },
+            })
+        };
+        let classes = file.classes.iter().map(class).collect::<Result<Vec<_>, _>>()?;
+        let named = |(model, class): (&String, &String)| {
+            let at = file.classes.iter().position(|c| c.name == *class);
+            let at = at.ok_or_else(|| format!("models: \"{model}\" has the unknown class \"{class}\""))?;
+            Ok((model.clone(), ClassId(at)))
+        };
+        let models = file.models.iter().map(named).collect::<Result<_, String>>()?;
+        let mut server_headers = HeaderMap::new();
+        for (name, value) in &file.server_headers {
+            let pair = HeaderName::from_bytes(name.as_bytes()).ok().zip(HeaderValue::from_str(value).ok());
+            let (name, value) = pair.ok_or_else(|| format!("server_headers: \"{name}\" is not a header"))?;
+            server_headers.insert(name, value);
+        }
+        let settings = Settings {
+            routers: 1,
+            kinds: vec![Kind { role: Role::Both, memory: None }],
+            classes,
+            limits: crate::api::Limits {
+                cancel: true,
+                max_attempts: file.max_attempts,
+                come_back: Some(micros(file.retry_after_ms, "retry_after_ms")?),
+                ..Default::default()
+            },
+            ..Settings::default()
+        };
+        Ok(Chat {
+            listen: file.listen,
+            servers: file.servers.into_iter().map(|s| (s.name, s.address)).collect(),
+            models,
+            settings,
+            default_max_tokens: file.default_max_tokens,
+            server_headers,
+            pool: PoolLimits {
+                connect: millis(file.connect_timeout_ms, 1.0),
+                idle: millis(file.idle_close_ms * 0.5, 1.0),
+                connections: file.server_connections.clamp(1, 4_096),
+            },
+            intake: file.client_connections.clamp(1, 4_096),
+            body_bytes: 32 * 1024 * 1024,
+            tls: file.tls.map(|tls| Identities::read(&tls, base)).transpose().map_err(|e| e.to_string())?,
+        })
+    }
+}
--- a/src/node/front/mod.rs
+++ b/src/node/front/mod.rs
@@ -1,6 +1,8 @@
 //! Fronts: each reads requests in its own protocol and puts answers into its own words.
 
+pub mod chat;
 pub mod platform;
+pub mod spiffe;
 
 use std::cell::Cell;
 use std::convert::Infallible;
@@ -16,13 +18,16 @@
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
+use tokio::task::spawn_local;
 use tokio::time::timeout;
 use tower::Service;
 
 use super::relay::{Piece, StreamBroken};
-use super::shutdown::Shutdown;
+use super::shutdown::{Pending, Shutdown};
+use spiffe::{Identities, Peer};
 
 /// Largest body of a request.
 pub const BODY_MOST: usize = 256 * 1024;
@@ -143,9 +148,11 @@
     timeout(BODY_TIME, read).await.unwrap_or(Err(BodyError::Slow))
 }
 
-/// Serves connections until the process has ended.
-pub async fn serve<S>(listener: TcpListener, intake: Rc<Intake>, shutdown: Shutdown, service: S)
-where
+/// Serves connections until the process has ended. With `tls` each client must prove its identity first.
+pub async fn serve<S>(
+    listener: TcpListener, tls: Option<Identities>, intake: Rc<Intake>, shutdown: Shutdown,
+    service: impl Fn(Peer) -> S + Clone + 'static,
+) where
     S: Service<Request<Incoming>, Response = Reply, Error = Infallible> + Clone + 'static,
 {
     loop {
@@ -163,29 +170,53 @@
         };
         let _ = socket.set_nodelay(true);
         intake.connections.set(intake.connections.get() + 1);
-        let (intake, shutdown, service) = (intake.clone(), shutdown.clone(), service.clone());
-        tokio::task::spawn_local(async move {
-            let pending = shutdown.pending();
-            let connection = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(HEAD_TIME)
-                .max_buf_size(BUFFER)
-                .serve_connection(TokioIo::new(socket), TowerToHyperService::new(service));
-            tokio::pin!(connection);
-            // A client that breaks off, or a stream that broke, is told by the request's own task.
-            let ended = tokio::select! {
-                ended = &mut connection => ended,
-                () = shutdown.begun() => {
-                    // A connection opened from now on still brings one request.
-                    connection.as_mut().graceful_shutdown();
-                    connection.await
-                }
-            };
-            if let Err(fault) = ended {
-                tracing::debug!("intake: connection ended: {fault}");
+        let place = Place(intake.clone(), shutdown.pending());
+        match &tls {
+            None => drop(spawn_local(connection(socket, service(Peer::Unproven), shutdown.clone(), place))),
+            Some(identities) => {
+                let (identities, service, shutdown) = (identities.clone(), service.clone(), shutdown.clone());
+                spawn_local(async move {
+                    match identities.prove(socket).await {
+                        Ok((stream, peer)) => connection(stream, service(peer), shutdown, place).await,
+                        Err(fault) => tracing::warn!("intake: a client did not prove its identity: {fault}"),
+                    }
+                });
             }
-            intake.connections.set(intake.connections.get() - 1);
-            drop(pending);
-        });
+        }
+    }
+}
+
+/// A connection's place in the intake, given back when dropped.
+struct Place(Rc<Intake>, #[allow(dead_code)] Pending);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.connections.set(self.0.connections.get() - 1);
+    }
+}
+
+async fn connection<I, S>(io: I, service: S, shutdown: Shutdown, place: Place)
+where
+    I: AsyncRead + AsyncWrite + Unpin + 'static,
+    S: Service<Request<Incoming>, Response = Reply, Error = Infallible> + Clone + 'static,
+{
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIME)
+        .max_buf_size(BUFFER)
+        .serve_connection(TokioIo::new(io), TowerToHyperService::new(service));
+    tokio::pin!(served);
+    // A client that breaks off, or a stream that broke, is told by the request's own task.
+    let ended = tokio::select! {
+        ended = &mut served => ended,
+        () = shutdown.begun() => {
+            // A connection opened from now on still brings one request.
+            served.as_mut().graceful_shutdown();
+            served.await
+        }
+    };
+    if let Err(fault) = ended {
+        tracing::debug!("intake: connection ended: {fault}");
     }
+    drop(place);
 }
--- a/src/node/front/platform.rs
+++ b/src/node/front/platform.rs
@@ -169,7 +169,7 @@
             drop((room, pending));
         });
         Ok(match answer.await {
-            Ok(Answer::Events { content_type, pieces }) => stream(content_type, pieces),
+            Ok(Answer::Events { form, pieces }) => stream(form.content_type, pieces),
             Ok(Answer::Refused { come_back }) => refusal(come_back),
             Ok(Answer::Failed) | Err(_) => {
                 plain(StatusCode::BAD_GATEWAY, "the request failed and may have run\n")
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -7,7 +7,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep_until, timeout};
 
-use super::attempt::{First, Payload};
+use super::attempt::{First, Form, Payload};
 use super::counters::add;
 use super::planner::{End, Order, Seat};
 use super::relay::{self, Passed, Piece, StreamBroken};
@@ -25,7 +25,7 @@
     /// A stream or a whole answer of one instance.
     Events {
         /// What the instance said that it is.
-        content_type: Option<hyper::header::HeaderValue>,
+        form: Form,
         /// Its bytes as they come.
         pieces: mpsc::Receiver<Piece>,
     },
@@ -115,6 +115,7 @@
     let overdue = deadline + OVERDUE;
     let counters = core.counters.clone();
     let mut held = Held { core: &core, id: payload.id.clone(), any: false, under_way: None };
+    let whole = ask.whole;
     let mut seat = core.planner.arrive(ask);
     let mut sent = 0;
     // The client needs no answer any more; the planner has been told so.
@@ -206,10 +207,13 @@
 
         // 3. The stream: it is this client's from its first event on, and no deadline runs any more.
         held.any = false;
-        seat.began(attempt, host, begun.elapsed().as_micros() as Micros);
+        if !whole {
+            // A whole answer tells nothing of the time to a first token.
+            seat.began(attempt, host, begun.elapsed().as_micros() as Micros);
+        }
         let (pieces, receiver) = mpsc::channel(relay::WAITING);
-        let content_type = events.content_type().cloned();
-        let passed = if over || !caller.answer(Answer::Events { content_type, pieces: receiver }) {
+        let form = events.form().clone();
+        let passed = if over || !caller.answer(Answer::Events { form, pieces: receiver }) {
             Passed::ClientLeft
         } else {
             tokio::select! {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -502,6 +502,7 @@
         time_left: micros(call.remaining),
         again: call.again_by_client,
         resumed: call.came_back,
+        whole: false,
     })
 }
 
