Bound what bodies, slow readers and silent watches may hold

A connection's read buffer is 16 KiB instead of 64. A silent watch is given up after 3.2 s instead of 4.5, as what it should have told counts as told after 6 s. A timed-out attempt closes the host's idle connections only if nothing else was heard from it meanwhile: a slow host is not a dead one.

--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -139,7 +139,7 @@
         self: &Rc<Self>, host: HostId, payload: &Payload, until: Instant,
     ) -> (First, Option<Load>) {
         add(&self.counters.attempts);
-        let mut written = None;
+        let (begun, mut written) = (Instant::now(), None);
         match timeout_at(until, self.exchange(host, payload, until, &mut written)).await {
             Ok((First::Ended(outcome), load)) => {
                 if matches!(outcome, Outcome::Unreachable | Outcome::Broken) {
@@ -149,8 +149,7 @@
             }
             Ok(first) => first,
             Err(_) => {
-                // A silent host's other connections may be as dead as this one.
-                self.pool.distrust(host);
+                self.pool.silent_since(host, begun);
                 let ran = written.is_some_and(|mark: WriteMark| mark.written());
                 (First::Ended(if ran { Outcome::TimedOut } else { Outcome::Unreachable }), None)
             }
--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -22,8 +22,9 @@
 use crate::api::*;
 use crate::wire::Names;
 
-/// Silence after which a watch is given up: an empty line is due every 2 s.
-const SILENCE: Duration = Duration::from_millis(4_500);
+/// Silence after which a watch is given up: an empty line is due every 2 s. What it should have told counts as told
+/// 6 s later, so a new watch must be there well before.
+const SILENCE: Duration = Duration::from_millis(3_200);
 /// For discovery to take a connection and to answer.
 const ANSWER: Duration = Duration::from_millis(1_500);
 /// Between tries.
--- a/src/node/front/chat.rs
+++ b/src/node/front/chat.rs
@@ -31,6 +31,8 @@
 const RETRY_COUNT: HeaderName = HeaderName::from_static("x-stainless-retry-count");
 /// Characters that make a token, about.
 const CHARS_A_TOKEN: f64 = 4.0;
+/// When a client that found no room should come back.
+const SHED_WAIT: Micros = 1_000_000;
 /// Most tokens that a request may ask for.
 const TOKENS_MOST: u32 = 1 << 20;
 
@@ -211,18 +213,19 @@
 
     async fn complete(&self, mut request: Request<Incoming>) -> Result<Reply, Fault> {
         let arrived = tokio::time::Instant::now();
-        let body = read_body(request.body_mut()).await?;
+        let (body, room) = match read_body(request.body_mut(), &self.intake).await {
+            Err(BodyError::NoRoom) => return Err(self.shed()),
+            read => read?,
+        };
         let completion = serde_json::from_slice(&body);
         let completion: Completion = completion.map_err(|e| Fault::Invalid(e.to_string()))?;
         let mut ask = self.ask(&completion)?;
         let retries = request.headers().get(RETRY_COUNT).and_then(|v| v.to_str().ok()?.parse::<u32>().ok());
         ask.again = retries.is_some_and(|n| n > 0);
         ask.time_left -= arrived.elapsed().as_micros() as Micros;
-        // Never taken in, so trying again is harmless.
-        let Some(room) = self.intake.room(body.len()).filter(|_| !self.intake.crowded()) else {
-            add(&self.core.counters.shed);
-            return Err(Fault::Refused(Some(1_000_000)));
-        };
+        if self.intake.crowded() {
+            return Err(self.shed());
+        }
         let id = self.new_id();
         let shown = HeaderValue::from_str(&id).ok();
         let target = request.uri().path_and_query().cloned();
@@ -254,6 +257,12 @@
         Ok(reply)
     }
 
+    /// Never taken in, so trying again is harmless.
+    fn shed(&self) -> Fault {
+        add(&self.core.counters.shed);
+        Fault::Refused(Some(SHED_WAIT))
+    }
+
     fn new_id(&self) -> Rc<str> {
         let number = self.ids.next.get();
         self.ids.next.set(number + 1);
--- a/src/node/front/mod.rs
+++ b/src/node/front/mod.rs
@@ -119,6 +119,9 @@
     /// It is too large.
     #[error("the body is over {BODY_MOST} bytes")]
     TooLarge,
+    /// There is no room for it; it was never taken in, so trying again is harmless.
+    #[error("no room for the body")]
+    NoRoom,
     /// It took too long.
     #[error("the body took over {} s to arrive", BODY_TIME.as_secs())]
     Slow,
@@ -127,11 +130,15 @@
     Broken(#[from] hyper::Error),
 }
 
-/// Reads a body whole. What is too large is read past, so that the connection can go on.
-pub async fn read_body(body: &mut Incoming) -> Result<Bytes, BodyError> {
-    let expected = body.size_hint().lower() as usize;
+/// Reads a body whole, with room for it set aside first. What is too large, or has no room, is read past, so that
+/// the connection can go on.
+pub async fn read_body(body: &mut Incoming, intake: &Rc<Intake>) -> Result<(Bytes, BodyRoom), BodyError> {
+    let hint = body.size_hint();
+    let most = hint.exact().map_or(BODY_MOST, |n| usize::try_from(n).unwrap_or(usize::MAX).min(BODY_MOST));
+    let room = intake.room(most);
     let read = async {
-        let mut text = BytesMut::with_capacity(expected.min(BODY_MOST));
+        let mut text =
+            BytesMut::with_capacity(if room.is_some() { hint.lower().min(most as u64) as usize } else { 0 });
         let mut seen = 0;
         while let Some(frame) = body.frame().await {
             let Ok(data) = frame?.into_data() else { continue };
@@ -139,13 +146,14 @@
             if seen > DISCARD_MOST {
                 return Err(BodyError::TooLarge);
             }
-            if seen <= BODY_MOST {
+            if seen <= BODY_MOST && room.is_some() {
                 text.extend_from_slice(&data);
             }
         }
         if seen > BODY_MOST { Err(BodyError::TooLarge) } else { Ok(text.freeze()) }
     };
-    timeout(BODY_TIME, read).await.unwrap_or(Err(BodyError::Slow))
+    let text = timeout(BODY_TIME, read).await.unwrap_or(Err(BodyError::Slow))?;
+    Ok((text, room.ok_or(BodyError::NoRoom)?))
 }
 
 /// Serves connections until the process has ended. With `tls` each client must prove its identity first.
--- a/src/node/front/platform.rs
+++ b/src/node/front/platform.rs
@@ -31,6 +31,8 @@
 const ID_MOST: usize = 128;
 /// Longest time a client may ask for, in milliseconds.
 const TIMEOUT_MOST: u64 = 3_600_000;
+/// When a client that found no room should come back.
+const SHED_WAIT: Micros = 1_000_000;
 /// Taken off a client's patience for the way of request and answer.
 const ON_THE_WAY: Micros = 5_000;
 
@@ -140,22 +142,29 @@
         reply
     }
 
+    /// Never taken in, so trying again is harmless.
+    fn shed(&self) -> Reply {
+        add(&self.core.counters.shed);
+        refusal(Some(SHED_WAIT))
+    }
+
     async fn complete(&self, mut request: Request<Incoming>) -> Result<Reply, Malformed> {
         let arrived = tokio::time::Instant::now();
         if request.method() != Method::POST {
             return Err(Malformed::Method("POST"));
         }
-        let body = read_body(request.body_mut()).await?;
+        let (body, room) = match read_body(request.body_mut(), &self.intake).await {
+            Err(BodyError::NoRoom) => return Ok(self.shed()),
+            read => read?,
+        };
         let id: Rc<str> = id(request.headers())?.into();
         let mut ask = ask(request.headers(), &self.names)?;
         if !self.ids.borrow_mut().is_new(&id) {
             return Err(Malformed::Duplicate(id.to_string()));
         }
-        // Never taken in, so trying again is harmless.
-        let Some(room) = self.intake.room(body.len()).filter(|_| !self.intake.crowded()) else {
-            add(&self.core.counters.shed);
-            return Ok(refusal(Some(1_000_000)));
-        };
+        if self.intake.crowded() {
+            return Ok(self.shed());
+        }
         ask.time_left -= arrived.elapsed().as_micros() as Micros + ON_THE_WAY;
         let target = request.uri().path_and_query().cloned().ok_or(Malformed::Path)?;
         let content_type = request.headers().get(CONTENT_TYPE).cloned();
--- a/src/node/pool.rs
+++ b/src/node/pool.rs
@@ -26,8 +26,9 @@
 
 /// Idle connections kept for each instance: a usual burst to one, far under its limit.
 const IDLE_MOST: usize = 24;
-/// Read buffer of a connection; events are far smaller.
-const BUFFER: usize = 64 * 1024;
+/// Read buffer of a connection; events are far smaller. With the pieces that wait for a slow reader it bounds what
+/// one stream may hold.
+const BUFFER: usize = 16 * 1024;
 
 /// No connection came up in time, or none may be opened.
 #[derive(Debug, thiserror::Error)]
@@ -310,6 +311,15 @@
         }
     }
 
+    /// Something at the host has been silent since then. Unless another exchange was heard meanwhile, its idle
+    /// connections may be as dead.
+    pub fn silent_since(&self, host: HostId, since: Instant) {
+        let heard = self.shelves.borrow().get(&host).and_then(|s| s.heard);
+        if heard.is_none_or(|at| at < since) {
+            self.distrust(host);
+        }
+    }
+
     /// Closes what has stood idle too long, for ever.
     pub async fn tidy(&self) {
         loop {
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -13,6 +13,7 @@
 
 exchanges! {
     bad_input
+    body_limits
     chat_bad_input
     chat_error_event
     chat_left
