Play discovery, unreachable writers and whole answers as tests

Checked: the list before ready, since after a lost or silent watch, a refusal where no connection came up, and the module's time for an answer in one piece.

--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -24,6 +24,7 @@
     chat_whole
     deadline
     deadline_unsafe
+    discovery
     drain
     left_while_reading
     left_while_streaming
@@ -32,6 +33,7 @@
     served
     sigterm
     turned_away
+    unreachable
     unsafe_broken_after
     unsafe_broken_before
 }
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -330,3 +330,17 @@
         rig.step(0, &[Event::Left(RequestId(77)), began(78, 999), ended(79, 999, Outcome::Served, true)]);
     assert_eq!((sent_to(&out), finals(&out)), (None, 0));
 }
+
+#[test]
+fn an_answer_in_one_piece_may_take_all_the_time_left() {
+    let mut rig = Rig::new(settings(), &[member(WRITER, 2)]);
+    let time_out = |out: &[Action]| match out {
+        [.., Action::Send { time_out, .. }] => *time_out,
+        other => panic!("expected one send, found {other:?}"),
+    };
+    let whole = |id| Event::Request(NewRequest { whole: true, ..ask(id) });
+    assert!(time_out(&rig.request(1)) < 4 * S, "silence of a stream is a sign");
+    assert_eq!(time_out(&rig.step(0, &[whole(2)])), 4 * S);
+    // Nor does its silence make the host look slow to the next.
+    assert_eq!(time_out(&rig.step(S, &[ended(1, WRITER, Outcome::Cancelled, true), whole(3)])), 4 * S);
+}
--- a/tests/player/mod.rs
+++ b/tests/player/mod.rs
@@ -312,11 +312,15 @@
     let (front, names) = head.split_once(' ').expect("a front and its instances");
     let names: Vec<_> = names.split(' ').collect();
     let mut actors: BTreeMap<String, Actor> = BTreeMap::new();
-    for name in &names {
-        actors.insert((*name).into(), Actor::listening(&format!("{base}:{}", port(name))));
+    // `!w1` is on the list and does not listen; `d` is discovery itself, played by the script.
+    for name in names.iter().filter(|n| !n.starts_with('!')) {
+        let port = if *name == "d" { 8_500 } else { port(name) };
+        actors.insert((*name).into(), Actor::listening(&format!("{base}:{port}")));
     }
-    let list = names.iter().map(|n| target(&base, n, "Ready")).collect::<Vec<_>>().join(",");
-    let told = discovery(&base, list);
+    let scripted = names.contains(&"d");
+    let list = names.iter().map(|n| target(&base, n.trim_start_matches('!'), "Ready"));
+    let list = list.collect::<Vec<_>>().join(",");
+    let told = if scripted { channel().0 } else { discovery(&base, list) };
     let mut program = match front {
         "platform" => {
             let config = platform(&base);
@@ -327,12 +331,16 @@
             Program::start(&base, &["--chat", file.to_str().expect("a plain path")], &[])
         }
     };
-    program.logs(if front == "platform" { "ready, with" } else { "chat front listens" });
+    program.logs(match front {
+        "platform" if scripted => "listens on",
+        "platform" => "ready, with",
+        _ => "chat front listens",
+    });
     let mut counters = Vec::new();
     for (step, (head, lines)) in steps(script).iter().enumerate() {
         let at = format!("step {} ({head})", step + 1);
         let (name, verb) = head.split_once(' ').unwrap_or((head, ""));
-        let lines = filled(lines, &forms);
+        let lines: Vec<_> = filled(lines, &forms).iter().map(|l| l.replace("{base}", &base)).collect();
         match (name, verb) {
             ("counters", _) => counters = lines.iter().filter(|l| !l.is_empty()).cloned().collect(),
             ("log", part) => program.logs(part),
