Read replaced identity files without a restart; wait for intake slots on a semaphore

SVIDs are short-lived; the front read its files at the start only. Each handshake now compares the files' times and lengths and reads what changed, keeping the old ones when the new cannot be read (tested with a replaced bundle). The accept loop polled every 5 ms at its limit; it now waits for a slot.

--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -325,7 +325,7 @@
             },
             intake: file.client_connections.clamp(1, 4_096),
             body_bytes: 32 * 1024 * 1024,
-            tls: file.tls.map(|tls| Identities::read(&tls, base)).transpose().map_err(|e| e.to_string())?,
+            tls: file.tls.map(|tls| Identities::read(tls, base)).transpose().map_err(|e| e.to_string())?,
         })
     }
 }
--- a/src/node/front/mod.rs
+++ b/src/node/front/mod.rs
@@ -8,6 +8,7 @@
 use std::convert::Infallible;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -20,7 +21,7 @@
 use hyper_util::service::TowerToHyperService;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, watch};
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 use tower::{Service, ServiceExt};
@@ -77,8 +78,7 @@
 
 /// Room for what clients bring.
 pub struct Intake {
-    connections: Cell<usize>,
-    most_connections: usize,
+    slots: Arc<Semaphore>,
     bytes: Cell<usize>,
     most_bytes: usize,
 }
@@ -95,12 +95,13 @@
 impl Intake {
     /// Room for so many connections and so many bytes of bodies.
     pub fn new(most_connections: usize, most_bytes: usize) -> Rc<Self> {
-        Rc::new(Intake { connections: Cell::new(0), most_connections, bytes: Cell::new(0), most_bytes })
+        let slots = Arc::new(Semaphore::new(most_connections + SPARE));
+        Rc::new(Intake { slots, bytes: Cell::new(0), most_bytes })
     }
 
     /// Whether more clients are connected than are served.
     pub fn crowded(&self) -> bool {
-        self.connections.get() > self.most_connections
+        self.slots.available_permits() < SPARE
     }
 
     /// Room for a body, if there is any.
@@ -164,10 +165,8 @@
     S: Service<Request<Incoming>, Response = Reply, Error = Infallible> + Clone + 'static,
 {
     loop {
-        if intake.connections.get() >= intake.most_connections + SPARE {
-            tokio::time::sleep(Duration::from_millis(5)).await;
-            continue;
-        }
+        // Past the limit clients wait in the system's queue.
+        let Ok(slot) = intake.slots.clone().acquire_owned().await else { return };
         let socket = match listener.accept().await {
             Ok((socket, _)) => socket,
             Err(fault) => {
@@ -177,8 +176,7 @@
             }
         };
         let _ = socket.set_nodelay(true);
-        intake.connections.set(intake.connections.get() + 1);
-        let place = Place(intake.clone(), shutdown.pending());
+        let place = Place { _slot: slot, _pending: shutdown.pending() };
         match &tls {
             None => drop(spawn_local(connection(socket, service(Peer::Unproven), shutdown.clone(), place))),
             Some(identities) => {
@@ -195,12 +193,9 @@
 }
 
 /// A connection's place in the intake, given back when dropped.
-struct Place(Rc<Intake>, #[allow(dead_code)] Pending);
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        self.0.connections.set(self.0.connections.get() - 1);
-    }
+struct Place {
+    _slot: OwnedSemaphorePermit,
+    _pending: Pending,
 }
 
 async fn connection<I, S>(io: I, service: S, shutdown: Shutdown, place: Place)
--- a/src/node/front/spiffe.rs
+++ b/src/node/front/spiffe.rs
@@ -1,10 +1,11 @@
 //! SPIFFE identities: mutual TLS whose peer is known by the URI in its certificate.
 
+use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::path::Path;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use rustls::pki_types::pem::PemObject;
 use rustls::pki_types::{CertificateDer, PrivateKeyDer};
@@ -65,11 +66,16 @@
 
 /// Proves who clients are.
 #[derive(Clone)]
-pub struct Identities {
-    acceptor: TlsAcceptor,
-    allowed: Rc<BTreeSet<String>>,
+pub struct Identities(Rc<Shared>);
+
+struct Shared {
+    tls: Tls,
+    current: RefCell<(Stamps, TlsAcceptor)>,
 }
 
+/// When the files last changed, and their lengths.
+type Stamps = [Option<(SystemTime, u64)>; 3];
+
 /// Whether a text is a SPIFFE ID: a trust domain and a path, without the parts that the standard forbids.
 pub fn is_spiffe_id(text: &str) -> bool {
     let Some(rest) = text.strip_prefix("spiffe://").filter(|_| text.len() <= ID_MOST) else { return false };
@@ -96,46 +102,77 @@
     }
 }
 
-impl Identities {
-    /// Reads certificate, key and trust bundle; relative paths start at `base`.
-    pub fn read(tls: &Tls, base: &Path) -> Result<Self, IdentityError> {
-        let at = |path: &Path| base.join(path);
-        let fault = |path: &Path, why: String| IdentityError::File(at(path).display().to_string(), why);
+impl Tls {
+    fn stamps(&self) -> Stamps {
+        [&self.certificate, &self.key, &self.trust_bundle].map(|path| {
+            let file = std::fs::metadata(path).ok()?;
+            Some((file.modified().ok()?, file.len()))
+        })
+    }
+
+    fn acceptor(&self) -> Result<TlsAcceptor, IdentityError> {
+        let fault = |path: &Path, why: String| IdentityError::File(path.display().to_string(), why);
         let certificates = |path: &Path| -> Result<Vec<CertificateDer<'static>>, IdentityError> {
-            let read =
-                CertificateDer::pem_file_iter(at(path)).and_then(|all| all.collect::<Result<Vec<_>, _>>());
+            let read = CertificateDer::pem_file_iter(path).and_then(|all| all.collect::<Result<Vec<_>, _>>());
             read.map_err(|e| fault(path, e.to_string()))
         };
-        if let Some(unfit) = tls.allowed_ids.iter().find(|id| !is_spiffe_id(id)) {
-            return Err(IdentityError::Id(unfit.clone()));
-        }
         let mut roots = RootCertStore::empty();
-        for root in certificates(&tls.trust_bundle)? {
-            roots.add(root).map_err(|e| fault(&tls.trust_bundle, e.to_string()))?;
+        for root in certificates(&self.trust_bundle)? {
+            roots.add(root).map_err(|e| fault(&self.trust_bundle, e.to_string()))?;
         }
         let provider = Arc::new(rustls::crypto::ring::default_provider());
         let verifier = WebPkiClientVerifier::builder_with_provider(Arc::new(roots), provider.clone())
             .build()
-            .map_err(|e| fault(&tls.trust_bundle, e.to_string()))?;
-        let key = PrivateKeyDer::from_pem_file(at(&tls.key)).map_err(|e| fault(&tls.key, e.to_string()))?;
+            .map_err(|e| fault(&self.trust_bundle, e.to_string()))?;
+        let key = PrivateKeyDer::from_pem_file(&self.key).map_err(|e| fault(&self.key, e.to_string()))?;
         let mut config = ServerConfig::builder_with_provider(provider)
             .with_safe_default_protocol_versions()
-            .map_err(|e| fault(&tls.certificate, e.to_string()))?
+            .map_err(|e| fault(&self.certificate, e.to_string()))?
             .with_client_cert_verifier(verifier)
-            .with_single_cert(certificates(&tls.certificate)?, key)
-            .map_err(|e| fault(&tls.certificate, e.to_string()))?;
+            .with_single_cert(certificates(&self.certificate)?, key)
+            .map_err(|e| fault(&self.certificate, e.to_string()))?;
         config.alpn_protocols = vec![b"http/1.1".to_vec()];
-        let allowed = Rc::new(tls.allowed_ids.clone());
-        Ok(Identities { acceptor: TlsAcceptor::from(Arc::new(config)), allowed })
+        Ok(TlsAcceptor::from(Arc::new(config)))
+    }
+}
+
+impl Identities {
+    /// Reads certificate, key and trust bundle; relative paths start at `base`.
+    pub fn read(mut tls: Tls, base: &Path) -> Result<Self, IdentityError> {
+        for path in [&mut tls.certificate, &mut tls.key, &mut tls.trust_bundle] {
+            *path = base.join(&*path);
+        }
+        if let Some(unfit) = tls.allowed_ids.iter().find(|id| !is_spiffe_id(id)) {
+            return Err(IdentityError::Id(unfit.clone()));
+        }
+        let current = RefCell::new((tls.stamps(), tls.acceptor()?));
+        Ok(Identities(Rc::new(Shared { tls, current })))
+    }
+
+    /// Identities are short-lived and their files are replaced while the program runs; what cannot be read, perhaps
+    /// half written, leaves the last ones in use until the next client.
+    fn acceptor(&self) -> TlsAcceptor {
+        let Shared { tls, current } = &*self.0;
+        let stamps = tls.stamps();
+        if stamps != current.borrow().0 {
+            match tls.acceptor() {
+                Ok(acceptor) => {
+                    tracing::info!("intake: read the changed identity files");
+                    current.replace((stamps, acceptor));
+                }
+                Err(fault) => tracing::warn!("intake: kept the old identity files: {fault}"),
+            }
+        }
+        current.borrow().1.clone()
     }
 
     /// Takes a client through the handshake and says who it is.
     pub async fn prove(&self, socket: TcpStream) -> Result<(TlsStream<TcpStream>, Peer), IdentityError> {
-        let stream =
-            timeout(HANDSHAKE, self.acceptor.accept(socket)).await.map_err(|_| IdentityError::Slow)??;
+        let accepted = timeout(HANDSHAKE, self.acceptor().accept(socket)).await;
+        let stream = accepted.map_err(|_| IdentityError::Slow)??;
         let chain = stream.get_ref().1.peer_certificates().unwrap_or_default();
         let id = spiffe_id(chain.first().ok_or(IdentityError::NoId)?)?;
-        let known = self.allowed.contains(&id);
+        let known = self.0.tls.allowed_ids.contains(&id);
         let id: Rc<str> = id.into();
         if !known {
             tracing::warn!("intake: {id} is not among the allowed identities");
--- a/tests/spiffe.rs
+++ b/tests/spiffe.rs
@@ -94,6 +94,11 @@
     assert!(with(&ours, &["https://hanbit.example/partner/club"]).is_err());
     assert!(with(&theirs, &[CLUB]).is_err());
     assert!(ask(&addr, &ours, None).is_err());
+    // A bundle that is replaced while the program runs counts for the next client; one that is no bundle does not.
+    player::file(&base, "bundle.pem", "no bundle");
+    assert!(with(&ours, &[CLUB]).is_ok());
+    player::file(&base, "bundle.pem", &format!("{}{}", ours.pem, theirs.pem));
+    assert!(with(&theirs, &[CLUB]).is_ok_and(|text| text.starts_with("HTTP/1.1 200 OK")));
     // Without TLS there is no answer either.
     let mut plain = TcpStream::connect(&addr).expect("it listens");
     plain.write_all(b"GET /v1/models HTTP/1.1\r\nHost: chat\r\n\r\n").expect("it reads");
