--- a/src/main.rs
+++ b/src/main.rs
@@ -122,7 +122,8 @@
         return Err(ConfigError::Nothing.into());
     }
     let mut counted = Vec::new();
-    if let Some(config) = platform {
+    if let Some(mut config) = platform {
+        config.leave(chat.as_ref().map_or(0, |chat| chat.intake + chat.pool.connections));
         let counters = Rc::new(Counters::default());
         counted.push(("platform", counters.clone()));
         start_platform(config, clock, counters, &shutdown).await?;
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -118,6 +118,12 @@
         Self::parse(&text).map_err(|e| ConfigError::Form(shown, e))
     }
 
+    /// Leaves so many sockets to another front of the same process: the limit counts for all of it.
+    pub fn leave(&mut self, sockets: usize) {
+        let less = |own: usize| own.saturating_sub(sockets.div_ceil(2)).max(8);
+        (self.intake, self.pool.connections) = (less(self.intake), less(self.pool.connections));
+    }
+
     fn parse(text: &[u8]) -> Result<Self, String> {
         let file: File = serde_json::from_slice(text).map_err(|e| e.to_string())?;
         let node = NodeSettings::deserialize(&file.settings).map_err(|e| format!("settings: {e}"))?;
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -32,6 +32,7 @@
     safe_broken_before
     served
     sigterm
+    silent_stream
     turned_away
     unreachable
     unsafe_broken_after
--- /dev/null
+++ b/tests/limits.rs
@@ -0,0 +1,18 @@
+//! What the program may use of its machine.
+
+mod player;
+
+use croftsill::node::config::{Chat, Platform};
+
+#[test]
+fn both_fronts_together_stay_under_the_limit_on_sockets() {
+    let base = player::address();
+    let mut platform = Platform::read(&player::platform(&base)).expect("a good configuration");
+    let chat = Chat::read(&player::chat(&base, &["s1"], "")).expect("a good operator's file");
+    let of_chat = chat.intake + chat.pool.connections;
+    let of_platform = |p: &Platform| p.intake + p.pool.connections;
+    // The rest is for discovery, the connections that are only turned away, the listeners and the runtime.
+    assert!(of_platform(&platform) <= 900, "{}", of_platform(&platform));
+    platform.leave(of_chat);
+    assert!(of_platform(&platform) + of_chat <= 900, "{} and {of_chat}", of_platform(&platform));
+}
