--- a/src/node/front/chat.rs
+++ b/src/node/front/chat.rs
@@ -16,13 +16,13 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::spiffe::Peer;
-use super::{BodyError, Intake, Pieces, Reply, read_body};
+use super::{BodyError, Intake, Pieces, Reply, begin, read_body};
 use crate::api::*;
 use crate::node::Core;
 use crate::node::attempt::Payload;
 use crate::node::config::Chat;
 use crate::node::counters::add;
-use crate::node::request::{Answer, Caller, live};
+use crate::node::request::Answer;
 use crate::node::shutdown::Shutdown;
 
 /// Tells clients whether to try again by themselves.
@@ -231,14 +231,8 @@
         let target = request.uri().path_and_query().cloned();
         let target = target.ok_or_else(|| Fault::Path(String::new()))?;
         let content_type = Some(HeaderValue::from_static("application/json"));
-        let (caller, answer) = Caller::new();
-        // A task of its own: this future is dropped when the client leaves, which is a cancel like any other.
-        let (core, pending) = (self.core.clone(), self.shutdown.pending());
         let (streamed, payload) = (!ask.whole, Payload { id, target, content_type, body });
-        tokio::task::spawn_local(async move {
-            live(core, ask, payload, caller).await;
-            drop((room, pending));
-        });
+        let answer = begin(&self.core, ask, payload, (room, self.shutdown.pending()));
         let mut reply = match answer.await {
             Ok(Answer::Events { form, pieces }) if streamed && form.streamed() => {
                 let mut reply = Response::new(Either::Right(Pieces::new(pieces)));
--- a/src/node/front/mod.rs
+++ b/src/node/front/mod.rs
@@ -21,13 +21,17 @@
 use hyper_util::service::TowerToHyperService;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpListener;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot, watch};
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 use tower::{Service, ServiceExt};
 
+use super::Core;
+use super::attempt::Payload;
 use super::relay::{Piece, StreamBroken};
+use super::request::{Answer, Caller, live};
 use super::shutdown::{Pending, STILL_ARRIVING, Shutdown};
+use crate::api::NewRequest;
 use spiffe::{Identities, Peer};
 
 /// Largest body of a request.
@@ -157,6 +161,20 @@
     Ok((text, room.ok_or(BodyError::NoRoom)?))
 }
 
+/// Starts a request's life, with what it keeps until its end. It has a task of its own: a front's future is dropped
+/// when the client leaves, and the request still has to be withdrawn and let go of.
+pub fn begin(
+    core: &Core, ask: NewRequest, payload: Payload, keep: (BodyRoom, Pending),
+) -> oneshot::Receiver<Answer> {
+    let (caller, answer) = Caller::new();
+    let core = core.clone();
+    spawn_local(async move {
+        live(core, ask, payload, caller).await;
+        drop(keep);
+    });
+    answer
+}
+
 /// Serves connections until the process has ended. With `tls` each client must prove its identity first.
 pub async fn serve<S>(
     listener: TcpListener, tls: Option<Identities>, intake: Rc<Intake>, shutdown: Shutdown,
--- a/src/node/front/platform.rs
+++ b/src/node/front/platform.rs
@@ -16,12 +16,12 @@
 use tokio::sync::watch;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{BodyError, Intake, Pieces, Reply, read_body};
+use super::{BodyError, Intake, Pieces, Reply, begin, read_body};
 use crate::api::*;
 use crate::node::Core;
 use crate::node::attempt::Payload;
 use crate::node::counters::add;
-use crate::node::request::{Answer, Caller, live};
+use crate::node::request::Answer;
 use crate::node::shutdown::Shutdown;
 use crate::wire::Names;
 
@@ -169,14 +169,7 @@
         let target = request.uri().path_and_query().cloned().ok_or(Malformed::Path)?;
         let content_type = request.headers().get(CONTENT_TYPE).cloned();
         let payload = Payload { id, target, content_type, body };
-        let (caller, answer) = Caller::new();
-        // A task of its own: this future is dropped when the client leaves, and the request still has to be
-        // withdrawn and let go of.
-        let (core, pending) = (self.core.clone(), self.shutdown.pending());
-        tokio::task::spawn_local(async move {
-            live(core, ask, payload, caller).await;
-            drop((room, pending));
-        });
+        let answer = begin(&self.core, ask, payload, (room, self.shutdown.pending()));
         Ok(match answer.await {
             Ok(Answer::Events { form, pieces }) => stream(form.content_type, pieces),
             Ok(Answer::Refused { come_back }) => refusal(come_back),
