Take in a replaced configuration at SIGHUP and follow discovery to its new address

Cause: main.rs and shutdown.rs listened for SIGTERM and SIGINT only, so SIGHUP had its default action, and discovery.rs followed one address for ever. reload.rs now reads the file again, keeps the old on any fault, and the watch moves at once with a whole list. Ruled out: exit 129 is the signal's status, no panic in the log. Test: reload.txt plays a bad file, a moved discovery and a SIGHUP after SIGTERM.

--- a/src/main.rs
+++ b/src/main.rs
@@ -17,8 +17,9 @@
 use croftsill::node::planner::Planner;
 use croftsill::node::pool::{Pool, Site};
 use croftsill::node::shutdown::Shutdown;
-use croftsill::node::{Clock, Core, tend_fleet};
+use croftsill::node::{Clock, Core, reload, tend_fleet};
 use tokio::net::TcpListener;
+use tokio::signal::unix::Signal;
 use tokio::sync::watch;
 use tokio::task::{LocalSet, spawn_local};
 
@@ -38,13 +39,16 @@
 }
 
 async fn start_platform(
-    config: Platform, clock: Clock, counters: Rc<Counters>, shutdown: &Shutdown,
+    config: Platform, clock: Clock, counters: Rc<Counters>, shutdown: &Shutdown, replaced: (Signal, PathBuf),
 ) -> Result<(), StartError> {
     let listener =
         TcpListener::bind(config.listen).await.map_err(|fault| StartError::Listen(config.listen, fault))?;
     let pool = Rc::new(Pool::new(config.pool, counters.clone()));
     let (planner, orders) = Planner::start(config.settings.clone(), config.seed, clock);
     let upstream = Rc::new(Upstream::new(pool.clone(), Dialect::Platform, counters.clone()));
+    let (discovery, address) = watch::channel(config.discovery);
+    let (hangups, path) = replaced;
+    spawn_local(reload::follow(hangups, path, discovery, counters.clone()));
     let core = Core { planner, upstream, counters };
     spawn_local(tend_fleet(core.clone(), orders));
     spawn_local(async move { pool.tidy().await });
@@ -55,7 +59,7 @@
     }
     let (told, heard) = watch::channel(false);
     let (ready, is_ready) = watch::channel(false);
-    spawn_local(directory.follow(config.discovery, told));
+    spawn_local(directory.follow(address, told));
     let known = config.known.is_some();
     spawn_local(async move {
         let mut heard = heard;
@@ -114,19 +118,22 @@
 
 async fn run() -> Result<(), StartError> {
     let clock = Clock::start();
+    let hangups = reload::hangups()?;
     let shutdown = Shutdown::default();
     let chat = chat_file()?.map(|path| Chat::read(&path)).transpose()?;
-    let platform = std::env::var_os("LB_CONFIG").map(PathBuf::from);
-    let platform = platform.map(|path| Platform::read(&path)).transpose()?;
+    let path = std::env::var_os("LB_CONFIG").map(PathBuf::from);
+    let platform = path.map(|path| Platform::read(&path).map(|config| (config, path))).transpose()?;
     if platform.is_none() && chat.is_none() {
         return Err(ConfigError::Nothing.into());
     }
     let mut counted = Vec::new();
-    if let Some(mut config) = platform {
+    if let Some((mut config, path)) = platform {
         config.leave(chat.as_ref().map_or(0, |chat| chat.intake + chat.pool.connections));
         let counters = Rc::new(Counters::default());
         counted.push(("platform", counters.clone()));
-        start_platform(config, clock, counters, &shutdown).await?;
+        start_platform(config, clock, counters, &shutdown, (hangups, path)).await?;
+    } else {
+        spawn_local(reload::refuse(hangups));
     }
     if let Some(config) = chat {
         let counters = Rc::new(Counters::default());
--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -77,6 +77,10 @@
     watches,
     /// Lists and changes heard from discovery.
     lists,
+    /// Replaced configurations taken in.
+    reloads,
+    /// Replaced configurations that could not be used.
+    reloads_failed,
 }
 
 /// Adds one.
--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -152,18 +152,36 @@
         self.core.planner.hosts(list.full, members);
     }
 
-    /// Follows discovery for ever; `told` turns true with the first list.
-    pub async fn follow(mut self, addr: SocketAddr, told: watch::Sender<bool>) {
+    /// Follows discovery for ever, wherever it is; `told` turns true with the first list. At a new address the whole
+    /// list is asked for again: its versions may not go on from the old one's.
+    pub async fn follow(mut self, mut address: watch::Receiver<SocketAddr>, told: watch::Sender<bool>) {
         loop {
+            if address.has_changed().unwrap_or(false) {
+                tracing::info!("discovery: moved to {}", *address.borrow());
+                self.version = None;
+            }
+            let addr = *address.borrow_and_update();
             add(&self.core.counters.watches);
-            let ended = self.watch(addr, &told).await.err().unwrap_or(WatchError::Ended);
-            tracing::warn!("discovery: watch lost, {ended}; trying again");
-            self.core.planner.hosts_failed();
-            sleep(AGAIN).await;
+            tokio::select! {
+                ended = self.watch(addr, &told) => {
+                    let ended = ended.err().unwrap_or(WatchError::Ended);
+                    tracing::warn!("discovery: watch lost, {ended}; trying again");
+                    self.core.planner.hosts_failed();
+                }
+                Ok(()) = address.changed() => {
+                    address.mark_changed();
+                    continue;
+                }
+            }
+            tokio::select! {
+                () = sleep(AGAIN) => {}
+                Ok(()) = address.changed() => address.mark_changed(),
+            }
         }
     }
 
     async fn watch(&mut self, addr: SocketAddr, told: &watch::Sender<bool>) -> Result<(), WatchError> {
+        // The list that came with the configuration may be old: it is not gone on from.
         let since = match self.version.filter(|_| *told.borrow()) {
             Some(version) => version,
             None => {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -13,6 +13,7 @@
 pub mod pool;
 pub mod relay;
 pub mod release;
+pub mod reload;
 pub mod request;
 pub mod shutdown;
 
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -29,6 +29,7 @@
     left_while_reading
     left_while_streaming
     read_lost
+    reload
     safe_broken_before
     served
     sigterm
--- a/tests/player/mod.rs
+++ b/tests/player/mod.rs
@@ -201,15 +201,15 @@
         }
     }
 
-    pub fn signal(&self) {
+    pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
-        let killed = Command::new("kill").args(["-TERM", &pid]).status().expect("kill runs");
+        let killed = Command::new("kill").args([&format!("-{name}"), &pid]).status().expect("kill runs");
         assert!(killed.success());
     }
 
     /// Tells it to end, and gives its log once it has ended well.
     pub fn end(mut self) -> String {
-        self.signal();
+        self.signal("TERM");
         self.ended(true)
     }
 
@@ -253,9 +253,13 @@
 
 /// Platform configuration for a program at this address.
 pub fn platform(base: &str) -> PathBuf {
+    configured(base, 8_500)
+}
+
+fn configured(base: &str, discovery: u32) -> PathBuf {
     let settings = include_str!("../exchanges/settings.json");
     let text = format!(
-        r#"{{"name":"n1","listen":"{base}:8081","discovery":"{base}:8500","seed":"1f",
+        r#"{{"name":"n1","listen":"{base}:8081","discovery":"{base}:{discovery}","seed":"1f",
             "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"settings":{settings}}}"#
     );
     file(base, "config.json", &text)
@@ -344,7 +348,11 @@
         match (name, verb) {
             ("counters", _) => counters = lines.iter().filter(|l| !l.is_empty()).cloned().collect(),
             ("log", part) => program.logs(part),
-            ("SIGTERM", _) => program.signal(),
+            ("SIGTERM", _) => program.signal("TERM"),
+            ("SIGHUP", _) => program.signal("HUP"),
+            // The configuration, with another actor as discovery, or with text that is none.
+            ("configured", "badly") => drop(file(&base, "config.json", "{\"name\":")),
+            ("configured", with) => drop(configured(&base, port(with))),
             ("told", change) => {
                 let (name, state) = change.split_once(' ').expect("an instance and its state");
                 let one = target(&base, name, state);
