Let silent and idle clients make room, and refuse bodies framed in two ways

At fault: front/mod.rs kept a connection without a request for 90 s (HEAD_TIME) and its slots were a plain semaphore, so silent or finished clients shut out the others; crowded() then answered 429. Ruled out: the module (no attempts, no log lines), CPU (0.05 s in a second), memory (11 of 80 MB). Now intake.rs closes after 2.1 s, lets who is silent or idle make room, takes body room for what came, not what was announced, and reads past unread bytes after the last answer. hyper 1.12 shows only one of two contradicting length headers (role.rs drops Content-Length in either order): the head is looked at as it came, refused with 400.

--- a/src/node/front/chat.rs
+++ b/src/node/front/chat.rs
@@ -15,8 +15,9 @@
 use serde_json::json;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use super::intake::{Arrival, BodyError, Intake, read_body};
 use super::spiffe::Peer;
-use super::{BodyError, Intake, Pieces, Reply, begin, read_body};
+use super::{Pieces, Reply, begin};
 use crate::api::*;
 use crate::node::Core;
 use crate::node::attempt::Payload;
@@ -213,7 +214,10 @@
 
     async fn complete(&self, mut request: Request<Incoming>) -> Result<Reply, Fault> {
         let arrived = tokio::time::Instant::now();
-        let (body, room) = match read_body(request.body_mut(), &self.intake).await {
+        if request.extensions().get::<Arrival>().is_some_and(|arrival| arrival.conflicting) {
+            return Err(Fault::Invalid("Content-Length and Transfer-Encoding exclude each other".into()));
+        }
+        let (body, room) = match read_body(&mut request, true, &self.intake).await {
             Err(BodyError::NoRoom) => return Err(self.shed()),
             read => read?,
         };
--- a/src/node/front/mod.rs
+++ b/src/node/front/mod.rs
@@ -1,27 +1,27 @@
 //! Fronts: each reads requests in its own protocol and puts answers into its own words.
 
 pub mod chat;
+pub mod intake;
 pub mod platform;
 pub mod spiffe;
 
-use std::cell::Cell;
 use std::convert::Infallible;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Either, Full};
+use http_body_util::{Either, Full};
 use hyper::body::{Body, Frame, Incoming};
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpListener;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 use tower::{Service, ServiceExt};
@@ -32,43 +32,44 @@
 use super::request::{Answer, Caller, live};
 use super::shutdown::{Pending, STILL_ARRIVING, Shutdown};
 use crate::api::NewRequest;
+use intake::{BUFFER, BodyRoom, Framed, Intake, Line, Place, Stream};
 use spiffe::{Identities, Peer};
 
-/// Largest body of a request.
-pub const BODY_MOST: usize = 256 * 1024;
-/// How much of a body that is too large is read to keep the connection usable.
-const DISCARD_MOST: usize = 2 * 1024 * 1024;
-/// For a client to send a body it has begun.
-const BODY_TIME: Duration = Duration::from_secs(10);
-/// For a client to send a head, or to stay idle between requests.
-const HEAD_TIME: Duration = Duration::from_secs(90);
-/// Buffer of a client's connection.
-const BUFFER: usize = 32 * 1024;
-/// Connections past the limit that are still taken, to be told so and closed.
-const SPARE: usize = 16;
+/// For a client to send a head, or to stay idle between requests. After 2 s a connection without an open request may
+/// be closed, and one that says nothing is owed a close within 3 s.
+const HEAD_TIME: Duration = Duration::from_millis(2_100);
 
 /// A front's answer: whole, or a stream.
 pub type Reply = Response<Either<Full<Bytes>, Pieces>>;
 
 /// A stream's body: pieces as they come, cut off where the stream broke.
-pub struct Pieces(mpsc::Receiver<Piece>);
+pub struct Pieces {
+    pieces: mpsc::Receiver<Piece>,
+    line: Option<Rc<Line>>,
+}
 
 impl Pieces {
     /// The body for a stream.
     pub fn new(pieces: mpsc::Receiver<Piece>) -> Self {
-        Pieces(pieces)
+        Pieces { pieces, line: None }
     }
 
     /// The whole of it in one piece.
     pub async fn whole(mut self) -> Result<Bytes, StreamBroken> {
         let mut text = BytesMut::new();
-        while let Some(piece) = self.0.recv().await {
+        while let Some(piece) = self.pieces.recv().await {
             text.extend_from_slice(&piece?);
         }
         Ok(text.freeze())
     }
 }
 
+impl Drop for Pieces {
+    fn drop(&mut self) {
+        self.line.iter().for_each(|line| line.idle());
+    }
+}
+
 impl Body for Pieces {
     type Data = Bytes;
     type Error = StreamBroken;
@@ -76,91 +77,10 @@
     fn poll_frame(
         mut self: Pin<&mut Self>, cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, StreamBroken>>> {
-        self.0.poll_recv(cx).map(|piece| piece.map(|p| p.map(Frame::data)))
-    }
-}
-
-/// Room for what clients bring.
-pub struct Intake {
-    slots: Arc<Semaphore>,
-    bytes: Cell<usize>,
-    most_bytes: usize,
-}
-
-/// Bytes of a body that are held, given back when dropped.
-pub struct BodyRoom(Rc<Intake>, usize);
-
-impl Drop for BodyRoom {
-    fn drop(&mut self) {
-        self.0.bytes.set(self.0.bytes.get() - self.1);
-    }
-}
-
-impl Intake {
-    /// Room for so many connections and so many bytes of bodies.
-    pub fn new(most_connections: usize, most_bytes: usize) -> Rc<Self> {
-        let slots = Arc::new(Semaphore::new(most_connections + SPARE));
-        Rc::new(Intake { slots, bytes: Cell::new(0), most_bytes })
-    }
-
-    /// Whether more clients are connected than are served.
-    pub fn crowded(&self) -> bool {
-        self.slots.available_permits() < SPARE
-    }
-
-    /// Room for a body, if there is any.
-    pub fn room(self: &Rc<Self>, bytes: usize) -> Option<BodyRoom> {
-        let total = self.bytes.get() + bytes;
-        (total <= self.most_bytes).then(|| {
-            self.bytes.set(total);
-            BodyRoom(self.clone(), bytes)
-        })
+        self.pieces.poll_recv(cx).map(|piece| piece.map(|p| p.map(Frame::data)))
     }
 }
 
-/// Why a request's body was not taken.
-#[derive(Debug, thiserror::Error)]
-pub enum BodyError {
-    /// It is too large.
-    #[error("the body is over {BODY_MOST} bytes")]
-    TooLarge,
-    /// There is no room for it; it was never taken in, so trying again is harmless.
-    #[error("no room for the body")]
-    NoRoom,
-    /// It took too long.
-    #[error("the body took over {} s to arrive", BODY_TIME.as_secs())]
-    Slow,
-    /// The connection broke within it.
-    #[error("the body broke off: {0}")]
-    Broken(#[from] hyper::Error),
-}
-
-/// Reads a body whole, with room for it set aside first. What is too large, or has no room, is read past, so that
-/// the connection can go on.
-pub async fn read_body(body: &mut Incoming, intake: &Rc<Intake>) -> Result<(Bytes, BodyRoom), BodyError> {
-    let hint = body.size_hint();
-    let most = hint.exact().map_or(BODY_MOST, |n| usize::try_from(n).unwrap_or(usize::MAX).min(BODY_MOST));
-    let room = intake.room(most);
-    let read = async {
-        let mut text =
-            BytesMut::with_capacity(if room.is_some() { hint.lower().min(most as u64) as usize } else { 0 });
-        let mut seen = 0;
-        while let Some(frame) = body.frame().await {
-            let Ok(data) = frame?.into_data() else { continue };
-            seen += data.len();
-            if seen > DISCARD_MOST {
-                return Err(BodyError::TooLarge);
-            }
-            if seen <= BODY_MOST && room.is_some() {
-                text.extend_from_slice(&data);
-            }
-        }
-        if seen > BODY_MOST { Err(BodyError::TooLarge) } else { Ok(text.freeze()) }
-    };
-    let text = timeout(BODY_TIME, read).await.unwrap_or(Err(BodyError::Slow))?;
-    Ok((text, room.ok_or(BodyError::NoRoom)?))
-}
-
 /// Starts a request's life, with what it keeps until its end. It has a task of its own: a front's future is dropped
 /// when the client leaves, and the request still has to be withdrawn and let go of.
 pub fn begin(
@@ -183,8 +103,8 @@
     S: Service<Request<Incoming>, Response = Reply, Error = Infallible> + Clone + 'static,
 {
     loop {
-        // Past the limit clients wait in the system's queue.
-        let Ok(slot) = intake.slots.clone().acquire_owned().await else { return };
+        // Past all limits clients wait in the system's queue.
+        intake.vacancy().await;
         let socket = match listener.accept().await {
             Ok((socket, _)) => socket,
             Err(fault) => {
@@ -194,15 +114,29 @@
             }
         };
         let _ = socket.set_nodelay(true);
-        let place = Place { _slot: slot, _pending: shutdown.pending() };
+        let (place, pending) = (intake.enter(), shutdown.pending());
         match &tls {
-            None => drop(spawn_local(connection(socket, service(Peer::Unproven), shutdown.clone(), place))),
+            None => drop(spawn_local(connection(
+                socket,
+                service(Peer::Unproven),
+                shutdown.clone(),
+                (place, pending),
+            ))),
             Some(identities) => {
                 let (identities, service, shutdown) = (identities.clone(), service.clone(), shutdown.clone());
                 spawn_local(async move {
-                    match identities.prove(socket).await {
-                        Ok((stream, peer)) => connection(stream, service(peer), shutdown, place).await,
-                        Err(fault) => tracing::warn!("intake: a client did not prove its identity: {fault}"),
+                    let proven = tokio::select! {
+                        proven = timeout(HEAD_TIME, identities.prove(socket)) => proven,
+                        () = place.line.made_room() => return,
+                    };
+                    match proven {
+                        Ok(Ok((stream, peer))) => {
+                            connection(stream, service(peer), shutdown, (place, pending)).await;
+                        }
+                        Ok(Err(fault)) => {
+                            tracing::warn!("intake: a client did not prove its identity: {fault}");
+                        }
+                        Err(_) => tracing::warn!("intake: a client did not prove its identity in time"),
                     }
                 });
             }
@@ -210,43 +144,66 @@
     }
 }
 
-/// A connection's place in the intake, given back when dropped.
-struct Place {
-    _slot: OwnedSemaphorePermit,
-    _pending: Pending,
+/// One request of a connection: how it arrived is added, and a connection that cannot go on is closed behind it.
+async fn one_request<S>(
+    service: S, line: Rc<Line>, mut request: Request<Incoming>,
+) -> Result<Reply, Infallible>
+where
+    S: Service<Request<Incoming>, Response = Reply, Error = Infallible>,
+{
+    let (arrival, framed) = (line.taken(&request), Framed::of(&request));
+    request.extensions_mut().insert(arrival);
+    let mut reply = service.oneshot(request).await?;
+    let unfit = reply.status().is_client_error() && reply.status() != StatusCode::TOO_MANY_REQUESTS;
+    if !line.answered(framed, unfit) {
+        reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    match reply.body_mut() {
+        Either::Left(_) => line.idle(),
+        Either::Right(pieces) => pieces.line = Some(line),
+    }
+    Ok(reply)
 }
 
-async fn connection<I, S>(io: I, service: S, shutdown: Shutdown, place: Place)
+async fn connection<I, S>(io: I, service: S, shutdown: Shutdown, (place, pending): (Place, Pending))
 where
     I: AsyncRead + AsyncWrite + Unpin + 'static,
     S: Service<Request<Incoming>, Response = Reply, Error = Infallible> + Clone + 'static,
 {
+    let line = place.line.clone();
     let (used, mut first) = watch::channel(false);
-    let service = service.map_request(move |request| {
+    let stream = Stream::new(io, line.clone());
+    let last = stream.handle();
+    let service = tower::service_fn(move |request| {
         used.send_replace(true);
-        request
+        one_request(service.clone(), line.clone(), request)
     });
     let served = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIME)
         .max_buf_size(BUFFER)
-        .serve_connection(TokioIo::new(io), TowerToHyperService::new(service));
-    tokio::pin!(served);
+        .serve_connection(TokioIo::new(stream), TowerToHyperService::new(service));
+    // Its own box: what is left of the connection is let go of before the last bytes are read past.
+    let mut served = Box::pin(served);
+    let ending = async {
+        shutdown.begun().await;
+        // Guards the requests that still arrive: the library closes a connection that has brought nothing
+        // yet at once, and the client's request with it.
+        let _ = timeout(STILL_ARRIVING, first.wait_for(|used| *used)).await;
+    };
     // A client that breaks off, or a stream that broke, is told by the request's own task.
     let ended = tokio::select! {
         ended = &mut served => ended,
-        () = async {
-            shutdown.begun().await;
-            // Guards the requests that still arrive: the library closes a connection that has brought nothing
-            // yet at once, and the client's request with it.
-            let _ = timeout(STILL_ARRIVING, first.wait_for(|used| *used)).await;
-        } => {
+        () = place.line.made_room() => return,
+        () = ending => {
             served.as_mut().graceful_shutdown();
-            served.await
+            served.as_mut().await
         }
     };
     if let Err(fault) = ended {
         tracing::debug!("intake: connection ended: {fault}");
     }
+    drop((served, pending));
+    last.leave().await;
     drop(place);
 }
--- a/src/node/front/platform.rs
+++ b/src/node/front/platform.rs
@@ -16,7 +16,8 @@
 use tokio::sync::watch;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{BodyError, Intake, Pieces, Reply, begin, read_body};
+use super::intake::{Arrival, BodyError, Intake, read_body};
+use super::{Pieces, Reply, begin};
 use crate::api::*;
 use crate::node::Core;
 use crate::node::attempt::Payload;
@@ -54,6 +55,9 @@
     /// The body was not taken.
     #[error("{0}")]
     Body(#[from] BodyError),
+    /// Its length is given in two ways.
+    #[error("Content-Length and Transfer-Encoding exclude each other")]
+    Framing,
     /// Not a path of this program.
     #[error("no such path")]
     Path,
@@ -153,12 +157,16 @@
         if request.method() != Method::POST {
             return Err(Malformed::Method("POST"));
         }
-        let (body, room) = match read_body(request.body_mut(), &self.intake).await {
+        if request.extensions().get::<Arrival>().is_some_and(|arrival| arrival.conflicting) {
+            return Err(Malformed::Framing);
+        }
+        let headers = request.headers();
+        let head = id(headers).and_then(|id| Ok((Rc::<str>::from(id), ask(headers, &self.names)?)));
+        let (body, room) = match read_body(&mut request, head.is_ok(), &self.intake).await {
             Err(BodyError::NoRoom) => return Ok(self.shed()),
             read => read?,
         };
-        let id: Rc<str> = id(request.headers())?.into();
-        let mut ask = ask(request.headers(), &self.names)?;
+        let (id, mut ask) = head?;
         if !self.ids.borrow_mut().is_new(&id) {
             return Err(Malformed::Duplicate(id.to_string()));
         }
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -26,6 +26,7 @@
     deadline_unsafe
     discovery
     drain
+    intake
     left_while_reading
     left_while_streaming
     read_lost
