Pass on whole events, tell spoilt streams from dead hosts, drop what is gone

At fault: attempt.rs Events::read, logic.rs ended, pool.rs take_idle; also hosts, shelves and ids that are gone were kept, and bodies until a stream's end. Tests: spoilt_before.txt, spoilt_after.txt, rules.rs, limits.rs.

--- a/src/api.rs
+++ b/src/api.rs
@@ -229,6 +229,8 @@
     Unreachable,
     /// Connection lost; it may have run.
     Broken,
+    /// The answer could not be read, though its host answers; it may have run.
+    Spoilt,
     /// Withdrawn; it may have run.
     Cancelled,
     /// Never sent.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -49,6 +49,7 @@
 const REST: Micros = 250_000; // for which a host rests after a failure, doubling with each further one...
 const REST_MOST: Micros = 2_000_000; // ...up to this, so that it is soon found when it is back
 const FAILS_RESTART: u32 = 3; // failures in a row after which a host that works again is taken for cold
+const SPOILT_MOST: u32 = 2; // answers in a row that cannot be read before the next counts as a failure
 const FULL_REST: Micros = 100_000; // for which a host that said "full" is left alone, at least...
 const FULL_MULTIPLE: Micros = 20; // ...and of the time that it took to say so
 const READY_WAIT: f64 = 0.4; // share of the pin limit after which a state goes to a writer untested...
@@ -101,6 +102,8 @@
     phase: Phase,
     started: Option<Micros>,
     fails: u32,
+    /// Answers in a row that could not be read.
+    spoilt: u32,
     failed_at: Micros,
     rest_until: Micros,
     full_until: BTreeMap<(ClassId, Option<TenantId>), Micros>,
@@ -692,6 +695,10 @@
                 self.hosts.entry(at).and_modify(|h| h.full_until.extend(key));
             }
             Outcome::NoState | Outcome::Cancelled | Outcome::Moot => {}
+            // A few come from any host, however well it is; only a host that sends nothing else fails.
+            Outcome::Spoilt if self.hosts.get(&at).is_some_and(|h| h.spoilt < SPOILT_MOST) => {
+                self.hosts.entry(at).and_modify(|h| h.spoilt += 1);
+            }
             _ => self.failed(now, at, sent_at, out),
         }
         let Some(r) = self.requests.get_mut(&id) else { return out.push(Action::Release(id)) };
@@ -710,6 +717,10 @@
                 }
                 if r.reader.is_none() {
                     self.hold(id);
+                } else if outcome == Outcome::Spoilt {
+                    // An answer had begun, so the state has moved: another writer would only say that it is gone.
+                    out.push(Action::Release(id));
+                    self.hold(id);
                 } else {
                     (r.stage, r.ready_since) = (Stage::Ready, now);
                 }
@@ -773,7 +784,7 @@
             host.started = Some(now);
             self.put_off(now, at);
         }
-        self.hosts.entry(at).and_modify(|h| (h.fails, h.rest_until) = (0, now));
+        self.hosts.entry(at).and_modify(|h| (h.fails, h.spoilt, h.rest_until) = (0, 0, now));
     }
 
     fn left(&mut self, id: RequestId, out: &mut Vec<Action>) {
@@ -863,6 +874,8 @@
                 self.put_off(now, m.host);
             }
         }
+        // What is gone is forgotten once nothing is out there: a long day brings ever new hosts.
+        self.hosts.retain(|_, h| h.phase != Phase::Gone || !h.streams.is_empty() || !h.pending.is_empty());
         self.weigh_cells();
     }
 
--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -5,23 +5,18 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HOST, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use serde::Deserialize;
 use tokio::time::{Instant, timeout, timeout_at};
 
 use super::counters::{Counters, add};
-use super::pool::{Connection, Pool, WriteMark};
-use super::relay::StreamBroken;
+use super::events::Events;
+use super::pool::{Pool, WriteMark};
 use crate::api::{HostId, Load, Micros, Outcome, Role};
 
-/// Silence after which a running stream is taken for dead. Clients are not to wait 5 s for nothing.
-const SILENCE: Duration = Duration::from_millis(4_300);
 /// Most of an answer without a stream that is read.
 const ANSWER_MOST: usize = 256 * 1024;
-/// Most of one line of a stream that is looked at.
-const LINE_MOST: usize = 64 * 1024;
 /// For a probe's answer.
 const PROBE: Duration = Duration::from_millis(250);
 
@@ -176,8 +171,11 @@
                 Err(mut fault) => {
                     let untouched = fault.take_message().is_some() && !mark.written();
                     if !untouched || connection.fresh() {
-                        let ran = mark.written();
-                        return ended(if ran { Outcome::Broken } else { Outcome::Unreachable });
+                        return ended(match (mark.written(), fault.error().is_parse()) {
+                            (false, _) => Outcome::Unreachable,
+                            (true, true) => Outcome::Spoilt,
+                            (true, false) => Outcome::Broken,
+                        });
                     }
                 }
             }
@@ -185,7 +183,9 @@
         let (head, body) = response.into_parts();
         let report = head.headers.get("server-load").and_then(|v| load(v.as_bytes()));
         if head.status == StatusCode::OK || self.is_answer(head.status) {
-            let mut events = Events::new(self.clone(), host, connection, body, (head.status, head.headers));
+            let chat = matches!(self.dialect, Dialect::Chat(_));
+            let from = (self.pool.clone(), host, connection);
+            let mut events = Events::new(from, body, (head.status, head.headers), chat);
             return match events.open().await {
                 Ok(()) => (First::Began(Box::new(events)), report),
                 Err(outcome) => (First::Ended(outcome), report),
@@ -264,149 +264,3 @@
         }
     }
 }
-
-/// What an instance says that its answer is; the core carries it to the front.
-#[derive(Clone, Debug)]
-pub struct Form {
-    /// The status.
-    pub status: StatusCode,
-    /// The type of content.
-    pub content_type: Option<HeaderValue>,
-}
-
-impl Form {
-    /// Whether it comes as a stream of events.
-    pub fn streamed(&self) -> bool {
-        self.content_type.as_ref().is_some_and(|v| v.as_bytes().starts_with(b"text/event-stream"))
-    }
-}
-
-/// A running answer.
-pub struct Events {
-    upstream: Rc<Upstream>,
-    host: HostId,
-    connection: Option<Connection>,
-    body: Incoming,
-    form: Form,
-    ready: Option<Bytes>,
-    scan: Option<Scan>,
-    ended: bool,
-}
-
-impl Events {
-    fn new(
-        upstream: Rc<Upstream>, host: HostId, connection: Connection, body: Incoming,
-        (status, head): (StatusCode, HeaderMap),
-    ) -> Self {
-        let form = Form { status, content_type: head.get(CONTENT_TYPE).cloned() };
-        let scan = (matches!(upstream.dialect, Dialect::Chat(_)) && form.streamed()).then(Scan::default);
-        Events { upstream, host, connection: Some(connection), body, form, ready: None, scan, ended: false }
-    }
-
-    /// Waits for the first bytes. An answer that breaks, ends or tells an error before them has not begun.
-    async fn open(&mut self) -> Result<(), Outcome> {
-        let first = self.read().await;
-        if self.told_error() {
-            return Err(Outcome::Error);
-        }
-        match first {
-            Some(Ok(bytes)) => {
-                self.ready = Some(bytes);
-                Ok(())
-            }
-            _ => Err(Outcome::Broken),
-        }
-    }
-
-    /// What the answer says it is.
-    pub fn form(&self) -> &Form {
-        &self.form
-    }
-
-    /// Whether an event told an error.
-    pub fn told_error(&self) -> bool {
-        self.scan.as_ref().is_some_and(|s| s.error)
-    }
-
-    /// The next bytes as they came; none after the end of a whole stream.
-    pub async fn next(&mut self) -> Option<Result<Bytes, StreamBroken>> {
-        match self.ready.take() {
-            Some(bytes) => Some(Ok(bytes)),
-            None => self.read().await,
-        }
-    }
-
-    async fn read(&mut self) -> Option<Result<Bytes, StreamBroken>> {
-        loop {
-            if self.ended {
-                return None;
-            }
-            match timeout(SILENCE, self.body.frame()).await {
-                Ok(Some(Ok(frame))) => {
-                    // Trailers tell nothing that is passed on.
-                    if let Some(bytes) = frame.into_data().ok().filter(|b| !b.is_empty()) {
-                        self.scan.iter_mut().for_each(|s| s.take(&bytes));
-                        return Some(Ok(bytes));
-                    }
-                }
-                Ok(None) if self.scan.as_ref().is_none_or(|s| s.done || s.error) => {
-                    self.ended = true;
-                    if let Some(connection) = self.connection.take() {
-                        self.upstream.pool.keep(self.host, connection);
-                    }
-                    return None;
-                }
-                // After an error event a break adds nothing: the client has its answer.
-                _ if self.told_error() => {
-                    self.ended = true;
-                    return None;
-                }
-                Ok(None | Some(Err(_))) => return self.broke(),
-                Err(_) => {
-                    self.upstream.pool.distrust(self.host);
-                    return self.broke();
-                }
-            }
-        }
-    }
-
-    fn broke(&mut self) -> Option<Result<Bytes, StreamBroken>> {
-        self.ended = true;
-        self.connection = None;
-        Some(Err(StreamBroken))
-    }
-}
-
-/// Looks for the end mark and for errors in a stream of events, across any cuts; changes nothing.
-#[derive(Default)]
-struct Scan {
-    line: Vec<u8>,
-    done: bool,
-    error: bool,
-}
-
-#[derive(Deserialize)]
-struct MaybeError {
-    error: Option<serde::de::IgnoredAny>,
-}
-
-impl Scan {
-    fn take(&mut self, bytes: &[u8]) {
-        for part in bytes.split_inclusive(|&b| b == b'\n') {
-            if self.line.len() + part.len() <= LINE_MOST {
-                self.line.extend_from_slice(part);
-            }
-            if part.ends_with(b"\n") {
-                let line = std::mem::take(&mut self.line);
-                self.line_ended(line.trim_ascii());
-            }
-        }
-    }
-
-    fn line_ended(&mut self, line: &[u8]) {
-        let Some(data) = line.strip_prefix(b"data:").map(|d| d.trim_ascii()) else { return };
-        let tells = |d| serde_json::from_slice(d).is_ok_and(|m: MaybeError| m.error.is_some());
-        self.done |= data == b"[DONE]";
-        self.error |= data != b"[DONE]" && tells(data);
-    }
-}
--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -59,6 +59,8 @@
     attempts_unreachable,
     /// Attempts whose connection broke.
     attempts_broken,
+    /// Attempts whose answer could not be read.
+    attempts_spoilt,
     /// Attempts withdrawn.
     attempts_cancelled,
     /// Attempts ordered but never sent.
@@ -100,6 +102,7 @@
             Outcome::TimedOut => &self.attempts_timed_out,
             Outcome::Unreachable => &self.attempts_unreachable,
             Outcome::Broken => &self.attempts_broken,
+            Outcome::Spoilt => &self.attempts_spoilt,
             Outcome::Cancelled => &self.attempts_cancelled,
             Outcome::Moot => &self.attempts_moot,
         });
--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -134,6 +134,12 @@
             };
             let (role, ready) = (self.settings.kinds[kind].role, phase == Phase::Serving);
             let site = Site { addr: target.addr, role, ready };
+            if !list.full {
+                tracing::info!("discovery: {} is {:?}", target.id, target.state);
+            }
+            if phase == Phase::Gone {
+                self.ids.remove(&target.id);
+            }
             self.core.upstream.pool().place(host, Some(site).filter(|_| phase != Phase::Gone));
             members.push(Member {
                 host,
@@ -148,6 +154,7 @@
             let pool = self.core.upstream.pool();
             let named = |host: &HostId| members.iter().any(|m| m.host == *host);
             pool.hosts().into_iter().filter(|h| !named(h)).for_each(|host| pool.place(host, None));
+            self.ids.retain(|_, host| named(host));
         }
         self.core.planner.hosts(list.full, members);
     }
--- a/src/node/front/chat.rs
+++ b/src/node/front/chat.rs
@@ -236,7 +236,7 @@
         let target = target.ok_or_else(|| Fault::Path(String::new()))?;
         let content_type = Some(HeaderValue::from_static("application/json"));
         let (streamed, payload) = (!ask.whole, Payload { id, target, content_type, body });
-        let answer = begin(&self.core, ask, payload, (room, self.shutdown.pending()));
+        let answer = begin(&self.core, ask, (payload, room), self.shutdown.pending());
         let mut reply = match answer.await {
             Ok(Answer::Events { form, pieces }) if streamed && form.streamed() => {
                 let mut reply = Response::new(Either::Right(Pieces::new(pieces)));
--- a/src/node/front/mod.rs
+++ b/src/node/front/mod.rs
@@ -81,10 +81,10 @@
     }
 }
 
-/// Starts a request's life, with what it keeps until its end. It has a task of its own: a front's future is dropped
+/// Starts a request's life, with the room of its body and what it keeps until its end. It has a task of its own: a front's future is dropped
 /// when the client leaves, and the request still has to be withdrawn and let go of.
-pub fn begin(
-    core: &Core, ask: NewRequest, payload: Payload, keep: (BodyRoom, Pending),
+pub fn begin<K: 'static>(
+    core: &Core, ask: NewRequest, payload: (Payload, BodyRoom), keep: K,
 ) -> oneshot::Receiver<Answer> {
     let (caller, answer) = Caller::new();
     let core = core.clone();
--- a/src/node/front/platform.rs
+++ b/src/node/front/platform.rs
@@ -27,7 +27,7 @@
 use crate::wire::Names;
 
 /// Ids remembered after their requests have ended, to turn repeats down.
-const REMEMBERED: usize = 8_192;
+const REMEMBERED: usize = 512;
 /// Longest id taken.
 const ID_MOST: usize = 128;
 /// Longest time a client may ask for, in milliseconds.
@@ -83,21 +83,29 @@
 #[derive(Default)]
 struct Ids {
     known: HashSet<Rc<str>>,
-    order: VecDeque<Rc<str>>,
+    ended: VecDeque<Rc<str>>,
 }
 
-impl Ids {
-    fn is_new(&mut self, id: &Rc<str>) -> bool {
-        let new = self.known.insert(id.clone());
-        if new {
-            self.order.push_back(id.clone());
-            if self.order.len() > REMEMBERED
-                && let Some(old) = self.order.pop_front()
-            {
-                self.known.remove(&old);
-            }
+/// The id of an open request; when dropped it is one of the last that were.
+struct OpenId(Rc<RefCell<Ids>>, Rc<str>);
+
+impl OpenId {
+    /// Takes an id that is new.
+    fn take(ids: &Rc<RefCell<Ids>>, id: &Rc<str>) -> Option<Self> {
+        let new = ids.borrow_mut().known.insert(id.clone());
+        new.then(|| OpenId(ids.clone(), id.clone()))
+    }
+}
+
+impl Drop for OpenId {
+    fn drop(&mut self) {
+        let mut ids = self.0.borrow_mut();
+        ids.ended.push_back(self.1.clone());
+        if ids.ended.len() > REMEMBERED
+            && let Some(old) = ids.ended.pop_front()
+        {
+            ids.known.remove(&old);
         }
-        new
     }
 }
 
@@ -167,17 +175,15 @@
             read => read?,
         };
         let (id, mut ask) = head?;
-        if !self.ids.borrow_mut().is_new(&id) {
-            return Err(Malformed::Duplicate(id.to_string()));
-        }
         if self.intake.crowded() {
             return Ok(self.shed());
         }
+        let open = OpenId::take(&self.ids, &id).ok_or_else(|| Malformed::Duplicate(id.to_string()))?;
         ask.time_left -= arrived.elapsed().as_micros() as Micros + ON_THE_WAY;
         let target = request.uri().path_and_query().cloned().ok_or(Malformed::Path)?;
         let content_type = request.headers().get(CONTENT_TYPE).cloned();
         let payload = Payload { id, target, content_type, body };
-        let answer = begin(&self.core, ask, payload, (room, self.shutdown.pending()));
+        let answer = begin(&self.core, ask, (payload, room), (open, self.shutdown.pending()));
         Ok(match answer.await {
             Ok(Answer::Events { form, pieces }) => stream(form.content_type, pieces),
             Ok(Answer::Refused { come_back }) => refusal(come_back),
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -2,12 +2,13 @@
 //!
 //! A request passes through the modules in this order: a [`front`] reads and checks it, its task in
 //! [`request`] asks a [`planner`] what to do, [`attempt`] plays one exchange with an instance over a
-//! connection of the [`pool`], [`relay`] passes the stream on, and [`release`] lets go of what is held.
+//! connection of the [`pool`], [`relay`] passes the stream's [`events`] on, and [`release`] lets go of what is held.
 
 pub mod attempt;
 pub mod config;
 pub mod counters;
 pub mod discovery;
+pub mod events;
 pub mod front;
 pub mod planner;
 pub mod pool;
--- a/src/node/pool.rs
+++ b/src/node/pool.rs
@@ -24,6 +24,12 @@
 use super::counters::{Counters, add};
 use crate::api::{HostId, Role};
 
+/// Longest that a connection stands idle before it is closed, whatever the settings say: machines have been seen to
+/// close theirs after 4 s where the settings say 30, and a request that crosses the close ends as a reset.
+const IDLE_LONGEST: Duration = Duration::from_secs(2);
+/// For which a connection must have been quiet before it is used again: within this a close right after an answer, or
+/// bytes behind it that belong to no request, have shown.
+const SETTLED: Duration = Duration::from_millis(100);
 /// Idle connections kept for each instance: a usual burst to one, far under its limit.
 const IDLE_MOST: usize = 24;
 /// Read buffer of a connection; events are far smaller. With the pieces that wait for a slow reader it bounds what
@@ -198,7 +204,8 @@
 
 impl Pool {
     /// An empty pool.
-    pub fn new(limits: PoolLimits, counters: Rc<Counters>) -> Self {
+    pub fn new(mut limits: PoolLimits, counters: Rc<Counters>) -> Self {
+        limits.idle = limits.idle.min(IDLE_LONGEST);
         let room = Arc::new(Semaphore::new(limits.connections));
         Pool { shelves: RefCell::default(), limits, room, counters }
     }
@@ -206,11 +213,12 @@
     /// Takes in where an instance listens, or that it is gone. A new address makes old connections useless.
     pub fn place(&self, host: HostId, site: Option<Site>) {
         let mut shelves = self.shelves.borrow_mut();
+        let Some(site) = site else { return drop(shelves.remove(&host)) };
         let shelf = shelves.entry(host).or_default();
-        if shelf.site.as_ref().map(|s| s.addr) != site.as_ref().map(|s| s.addr) {
+        if shelf.site.as_ref().is_none_or(|old| old.addr != site.addr) {
             shelf.idle.clear();
         }
-        shelf.site = site;
+        shelf.site = Some(site);
     }
 
     /// Where an instance listens.
@@ -250,7 +258,8 @@
         let mut shelves = self.shelves.borrow_mut();
         let idle = &mut shelves.get_mut(&host)?.idle;
         idle.retain(|c| c.since.elapsed() < self.limits.idle && !c.sender.is_closed());
-        idle.pop()
+        let settled = idle.iter().rposition(|c| c.since.elapsed() >= SETTLED)?;
+        Some(idle.remove(settled))
     }
 
     async fn open(&self, addr: SocketAddr) -> Result<Connection, NoConnection> {
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -3,15 +3,21 @@
 use bytes::Bytes;
 use tokio::sync::mpsc;
 
-use super::attempt::Events;
+use super::events::Events;
 
 /// Pieces of a stream that wait for a slow reader; past them the instance's connection is read no further.
 pub const WAITING: usize = 4;
 
 /// The stream ended before it was whole; the client's connection must show it.
-#[derive(Debug, thiserror::Error)]
-#[error("the stream broke")]
-pub struct StreamBroken;
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum StreamBroken {
+    /// It was cut off, or went silent.
+    #[error("the stream was cut off")]
+    Cut,
+    /// It went on with what is no event stream.
+    #[error("the stream was spoilt")]
+    Spoilt,
+}
 
 /// A piece of a stream, or that it broke.
 pub type Piece = Result<Bytes, StreamBroken>;
@@ -22,7 +28,7 @@
     /// The whole stream.
     Whole,
     /// It broke.
-    Broken,
+    Broken(StreamBroken),
     /// It told an error of its own as an event, and that is all.
     Failed,
     /// The client went away.
@@ -45,7 +51,7 @@
             Some(Err(broken)) => {
                 // A full channel means a slow reader: the break waits its turn, the client's leaving does not.
                 let told = client.send(Err(broken)).await;
-                return if told.is_ok() { Passed::Broken } else { Passed::ClientLeft };
+                return if told.is_ok() { Passed::Broken(broken) } else { Passed::ClientLeft };
             }
             None if events.told_error() => return Passed::Failed,
             None => return Passed::Whole,
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -7,8 +7,9 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep_until, timeout};
 
-use super::attempt::{First, Form, Payload};
+use super::attempt::{First, Payload};
 use super::counters::add;
+use super::events::Form;
 use super::planner::{End, Order, Seat};
 use super::relay::{self, Passed, Piece, StreamBroken};
 use super::release::release;
@@ -109,8 +110,8 @@
 }
 
 /// Lives one request through. The planner decides at each point of choice; exactly one final answer goes to the
-/// caller, and nothing stays held or sent when this ends.
-pub async fn live(core: Core, ask: NewRequest, payload: Payload, mut caller: Caller) {
+/// caller, and nothing stays held or sent when this ends. `room` is what the payload takes up, given back with it.
+pub async fn live<R>(core: Core, ask: NewRequest, (payload, room): (Payload, R), mut caller: Caller) {
     let deadline = Instant::now() + span(ask.time_left);
     let overdue = deadline + OVERDUE;
     let counters = core.counters.clone();
@@ -205,7 +206,9 @@
             }
         };
 
-        // 3. The stream: it is this client's from its first event on, and no deadline runs any more.
+        // 3. The stream: it is this client's from its first event on, and no deadline runs any more. It is never sent
+        // again, so the payload, far larger than the events that wait, goes now.
+        drop((payload, room));
         held.any = false;
         if !whole {
             // A whole answer tells nothing of the time to a first token.
@@ -220,15 +223,16 @@
                 passed = relay::pass(&mut events, &pieces) => passed,
                 () = moved(&mut seat) => {
                     // The client comes again for the rest.
-                    let _ = pieces.try_send(Err(StreamBroken));
-                    Passed::Broken
+                    let _ = pieces.try_send(Err(StreamBroken::Cut));
+                    Passed::Broken(StreamBroken::Cut)
                 }
             }
         };
         drop((events, pieces));
         let outcome = match passed {
             Passed::Whole => (add(&counters.served), Outcome::Served).1,
-            Passed::Broken => (add(&counters.broken), Outcome::Broken).1,
+            Passed::Broken(StreamBroken::Cut) => (add(&counters.broken), Outcome::Broken).1,
+            Passed::Broken(StreamBroken::Spoilt) => (add(&counters.broken), Outcome::Spoilt).1,
             Passed::Failed => (add(&counters.failed), Outcome::Error).1,
             Passed::ClientLeft => {
                 if !over {
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -35,6 +35,8 @@
     served
     sigterm
     silent_stream
+    spoilt_after
+    spoilt_before
     turned_away
     unreachable
     unsafe_broken_after
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -2,7 +2,9 @@
 
 mod player;
 
+use croftsill::api::{HostId, Role};
 use croftsill::node::config::{Chat, Platform};
+use croftsill::node::pool::{Pool, Site};
 
 #[test]
 fn both_fronts_together_stay_under_the_limit_on_sockets() {
@@ -16,3 +18,14 @@
     platform.leave(of_chat);
     assert!(of_platform(&platform) + of_chat <= 900, "{} and {of_chat}", of_platform(&platform));
 }
+
+#[test]
+fn nothing_is_kept_of_an_instance_that_is_gone() {
+    let platform = Platform::read(&player::platform(&player::address())).expect("a good configuration");
+    let pool = Pool::new(platform.pool, Default::default());
+    let addr = platform.listen;
+    pool.place(HostId(7), Some(Site { addr, role: Role::Read, ready: true }));
+    assert_eq!(pool.hosts(), [HostId(7)]);
+    pool.place(HostId(7), None);
+    assert!(pool.hosts().is_empty());
+}
--- a/tests/mixed.rs
+++ b/tests/mixed.rs
@@ -165,6 +165,8 @@
             _ => assert_eq!(*ended, Ended::Whole, "request {number}"),
         }
     }
+    // Connections are used again once they have settled.
+    assert!(!log.contains("\"reuses\":0,"), "{log}");
     let whole = ended.iter().filter(|(_, e)| *e == Ended::Whole).count();
     assert!(whole as u32 > REQUESTS / 2, "only {whole} were served:\n{log}");
     for part in ["counters of platform: ", "counters of chat: "] {
--- a/tests/player/mod.rs
+++ b/tests/player/mod.rs
@@ -126,6 +126,8 @@
         } else if let Some(text) = line.strip_prefix("chunk:") {
             let text = text.trim_start().replace("\\n", "\n");
             out += &format!("{:X}\r\n{text}\r\n", text.len());
+        } else if line == "noise" {
+            out += "\u{1}\u{13}n\0ise\u{7f}";
         } else if let Some((times, text)) = line.strip_prefix("repeat ").and_then(|l| l.split_once(": ")) {
             out += &text.repeat(times.parse().expect("a number"));
         } else {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -70,6 +70,15 @@
     assert_ne!(next, writer);
 }
 
+#[test]
+fn a_spoilt_answer_is_read_again_at_once_and_its_host_stays_in_use() {
+    let mut rig = Rig::new(settings(), &[member(READER, 0), member(WRITER, 1)]);
+    rig.request(1);
+    assert_eq!(sent_to(&rig.end(1, READER, Outcome::Read)), Some(WRITER));
+    assert_eq!(sent_to(&rig.end(1, WRITER, Outcome::Spoilt)), Some(READER));
+    assert_eq!(sent_to(&rig.end(1, READER, Outcome::Read)), Some(WRITER));
+}
+
 #[test]
 fn rule_2_a_failed_read_has_no_effect() {
     let members = [member(READER, 0), member(2, 0), member(WRITER, 1)];
