Probe writers so that other conductors' load is known, more often under pressure

A line for each attempt: all 54 time-outs at the four writers of one cell, none at its readers or the other cell's writers. Each conductor knew only its own streams there: logic.rs reads reports (report, others_at), but no decision asked for a probe, which is the only way to a report here. Ruled out: CPU (0.05 s in a second), connections (no failed one), a silent host (they served). Tests: mechanism.rs, probe.txt.

--- a/src/api.rs
+++ b/src/api.rs
@@ -375,7 +375,7 @@
     },
     /// End a running stream in order, to be resumed elsewhere. No present decision asks for it.
     Move(RequestId),
-    /// Ask a host how it is. No present decision asks for it.
+    /// Ask a host how it is.
     Probe(HostId),
     /// Close idle connections to a host. No present decision asks for it.
     Close(HostId),
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -54,6 +54,9 @@
 const FULL_MULTIPLE: Micros = 20; // ...and of the time that it took to say so
 const READY_WAIT: f64 = 0.4; // share of the pin limit after which a state goes to a writer untested...
 const READY_MOST: f64 = 0.8; // ...and after which it is let go
+const PROBE_EVERY: Micros = 700_000; // between probes of a writer: its reports are not much fresher...
+const PROBE_CALM: Micros = 2_800_000; // ...and while nothing had to wait, as each has its price
+const PRESSED: Micros = 5_000_000; // for which a wait or an attempt in vain counts as pressure
 const COLD_SHARE: f64 = 0.5; // of the cold budget in use: sends of many routers bunch by chance
 const QUOTA_SLACK: f64 = 1.25; // multiple of an even part of a quota let through: traffic is not even
 const QUOTA_BURST: f64 = 2e6; // of quota that may be used at once
@@ -108,6 +111,7 @@
     rest_until: Micros,
     full_until: BTreeMap<(ClassId, Option<TenantId>), Micros>,
     next_cold: Micros,
+    probed_at: Micros,
     /// Attempts without a first answer, by the time they were sent.
     pending: BTreeMap<RequestId, Micros>,
     read_cost: Fading,
@@ -259,6 +263,8 @@
     salt: u64,
     reads: Fading,
     writes: Fading,
+    /// When a request last had to wait, or an attempt was in vain.
+    pressed_at: Micros,
     wake_at: Option<Micros>,
     followed_at: Option<Micros>,
     following: bool,
@@ -287,6 +293,7 @@
         self.send_ready(now, out);
         self.sort_tiers(now, out);
         self.admit(now, out);
+        self.probe(now, out);
         self.set_wake(now, out);
     }
 
@@ -685,6 +692,9 @@
                 _ => {}
             }
         }
+        if matches!(outcome, Outcome::TimedOut | Outcome::Full) {
+            self.pressed_at = now;
+        }
         match outcome {
             Outcome::Served => self.served(now, id, at),
             Outcome::Read => self.was_read(now, id, at, kept, took),
@@ -718,7 +728,7 @@
                 if r.reader.is_none() {
                     self.hold(id);
                 } else if outcome == Outcome::Spoilt {
-                    // An answer had begun, so the state has moved: another writer would only say that it is gone.
+                    // An answer had begun, so the state has moved: another writer would have none.
                     out.push(Action::Release(id));
                     self.hold(id);
                 } else {
@@ -920,6 +930,26 @@
         self.hosts.entry(at).and_modify(|h| h.others = Some(Fading { value: others, at: now }));
     }
 
+    /// Asks the writers how much others hold there, while there is anything to decide.
+    fn probe(&mut self, now: Micros, out: &mut Vec<Action>) {
+        if !self.set.limits.probes || self.set.routers < 2 || self.requests.is_empty() {
+            return;
+        }
+        if !self.high.is_empty() || !self.low.is_empty() {
+            self.pressed_at = now;
+        }
+        let pressed = now < self.pressed_at.saturating_add(PRESSED);
+        let every = if pressed { PROBE_EVERY } else { PROBE_CALM } as f64;
+        for host in self.hosts.values_mut().filter(|h| h.role != Role::Read && h.phase == Phase::Serving) {
+            // By chance, lest all are asked at once for ever.
+            let gap = every * (0.75 + 0.5 * chance(host.id.0, host.probed_at as u64 ^ self.salt));
+            if now >= host.probed_at.saturating_add(gap as Micros) {
+                host.probed_at = now;
+                out.push(Action::Probe(host.id));
+            }
+        }
+    }
+
     /// Puts the first send to a cold host off by chance, as all routers hear of a start at once.
     fn put_off(&mut self, now: Micros, to: HostId) {
         let after = self.cold_gap(now, to) as f64 * chance(to.0, now as u64 ^ self.salt);
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -29,6 +29,7 @@
     intake
     left_while_reading
     left_while_streaming
+    probe
     read_lost
     reload
     safe_broken_before
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -268,6 +268,34 @@
     assert_eq!(sent_to(&rig.step(0, &[Event::Request(long)])), None);
 }
 
+#[test]
+fn writers_are_probed_while_there_are_requests_and_more_often_under_pressure() {
+    let limits = Limits { probes: true, ..settings().limits };
+    let members = [member(READER, 0), member(WRITER, 1)];
+    let mut rig = Rig::new(Settings { limits, ..settings() }, &members);
+    let probes = |rig: &mut Rig| {
+        let of = |out: Vec<Action>| out.iter().filter(|a| **a == Action::Probe(HostId(WRITER))).count();
+        (0..1_000).map(|_| of(rig.tick(10 * MS))).sum::<usize>()
+    };
+    assert_eq!(probes(&mut rig), 0, "nothing to decide");
+    rig.request(1);
+    rig.end(1, READER, Outcome::Read);
+    rig.step(0, &[began(1, WRITER)]);
+    let calm = probes(&mut rig);
+    assert!((2..=5).contains(&calm), "{calm} in 10 s");
+    // A request that has to wait: its writer is gone from the choices.
+    rig.step(
+        0,
+        &[Event::Hosts {
+            whole: false,
+            members: vec![Member { phase: Phase::Draining, ..member(READER, 0) }],
+        }],
+    );
+    rig.step(0, &[Event::Request(NewRequest { time_left: 60 * S, ..ask(2) })]);
+    let pressed = probes(&mut rig);
+    assert!(pressed > 2 * calm, "{pressed} in 10 s, {calm} before");
+}
+
 #[test]
 fn absurd_reports_mislead_no_decision() {
     for memory in [f64::NAN, f64::INFINITY, -5.0, 1e300] {
--- a/tests/player/mod.rs
+++ b/tests/player/mod.rs
@@ -327,9 +327,15 @@
     let list = names.iter().map(|n| target(&base, n.trim_start_matches('!'), "Ready"));
     let list = list.collect::<Vec<_>>().join(",");
     let told = if scripted { channel().0 } else { discovery(&base, list) };
+    // The same platform where instances may be probed.
+    let (front, probes) = if front == "probing" { ("platform", true) } else { (front, false) };
     let mut program = match front {
         "platform" => {
             let config = platform(&base);
+            if probes {
+                let text = std::fs::read_to_string(&config).expect("the file just written");
+                file(&base, "config.json", &text.replace("\"mayProbe\": false", "\"mayProbe\": true"));
+            }
             Program::start(&base, &[], &[("LB_CONFIG", &config)])
         }
         _ => {
