--- a/src/node/front/mod.rs
+++ b/src/node/front/mod.rs
@@ -193,8 +193,10 @@
     };
     // A client that breaks off, or a stream that broke, is told by the request's own task.
     let ended = tokio::select! {
-        ended = &mut served => ended,
+        biased;
+        // First: a request that crosses this must not be begun and then dropped.
         () = place.line.made_room() => return,
+        ended = &mut served => ended,
         () = ending => {
             served.as_mut().graceful_shutdown();
             served.as_mut().await
