Price probes over the fleet: the interval grows with the number of conductors

At fault: Router::probe, whose interval took no account of `routers`, so that a hundred conductors ask each writer fifty times as often as two do.

The interval is now multiplied by routers / 2. With two conductors nothing changes.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -939,7 +939,8 @@
             self.pressed_at = now;
         }
         let pressed = now < self.pressed_at.saturating_add(PRESSED);
-        let every = if pressed { PROBE_EVERY } else { PROBE_CALM } as f64;
+        // All routers' probes cost the hosts work: together no more than two routers' would.
+        let every = if pressed { PROBE_EVERY } else { PROBE_CALM } as f64 * f64::from(self.set.routers) / 2.0;
         for host in self.hosts.values_mut().filter(|h| h.role != Role::Read && h.phase == Phase::Serving) {
             // By chance, lest all are asked at once for ever.
             let gap = every * (0.75 + 0.5 * chance(host.id.0, host.probed_at as u64 ^ self.salt));
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -296,6 +296,23 @@
     assert!(pressed > 2 * calm, "{pressed} in 10 s, {calm} before");
 }
 
+#[test]
+fn a_hundred_routers_together_probe_no_more_than_two_do() {
+    let probes_in = |routers| {
+        let settings = Settings { routers, ..settings() };
+        let limits = Limits { probes: true, ..settings.limits.clone() };
+        let mut rig = Rig::new(Settings { limits, ..settings }, &[member(READER, 0), member(WRITER, 1)]);
+        let mut probes = 0;
+        for id in 0..1_000 {
+            let out = rig.step(100 * MS, &[Event::Request(ask(id))]);
+            probes += out.iter().filter(|a| matches!(a, Action::Probe(_))).count() as u32;
+        }
+        probes * routers
+    };
+    assert!((50..250).contains(&probes_in(2)), "{}", probes_in(2));
+    assert!(probes_in(100) < 2 * probes_in(2), "{}", probes_in(100));
+}
+
 #[test]
 fn absurd_reports_mislead_no_decision() {
     for memory in [f64::NAN, f64::INFINITY, -5.0, 1e300] {
