Ask an overbooked discovery again with backoff, jitter and a pace set by the fleet's size

The 70 conductors killed during the release come back with their old list and go on sending to instances that are gone: 3,000 attempts end as unreachable after 0 ms, 2,000 requests are refused. At fault: the fixed AGAIN in Directory::follow, and a whole list asked for before each first watch.

The service fails a call at 2.0 s.

Now Backoff (no I/O, no clock) waits 50 ms for each conductor of the fleet at first and 200 ms for each at most, between half and the whole by the conductor's seed; one call asks for what changed since the list at hand, also the one that came with the configuration. With two conductors: 250 ms to 10 s.

CROFTSILL_LOG=debug writes all that the module is told and says.

--- a/src/main.rs
+++ b/src/main.rs
@@ -54,7 +54,8 @@
     spawn_local(tend_fleet(core.clone(), orders));
     spawn_local(async move { pool.tidy().await });
 
-    let mut directory = Directory::new(core.clone(), config.settings, config.names.clone(), clock);
+    let mut directory =
+        Directory::new(core.clone(), config.settings, config.names.clone(), clock, config.seed);
     if let Some(known) = &config.known {
         directory.take(known);
     }
@@ -149,7 +150,10 @@
 }
 
 fn main() -> ExitCode {
-    tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false).init();
+    let level = std::env::var("CROFTSILL_LOG").ok().and_then(|text| text.parse().ok());
+    let level = level.unwrap_or(tracing::level_filters::LevelFilter::INFO);
+    let log = tracing_subscriber::fmt().with_max_level(level);
+    log.with_writer(std::io::stderr).with_ansi(false).with_target(false).init();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let ended = runtime.map_err(StartError::Io).and_then(|runtime| LocalSet::new().block_on(&runtime, run()));
     match ended {
--- /dev/null
+++ b/src/node/backoff.rs
@@ -0,0 +1,102 @@
+//! How long to wait before the next try at something that many ask for at once.
+
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Exponential backoff with jitter, for one thing that is tried again and again. It does no I/O and reads no clock.
+///
+/// A hundred conductors lose the same service in the same moment. Each wait lies between half and the whole of a
+/// bound that grows with each failure, at a place drawn from the conductor's seed, so the tries spread out.
+#[derive(Clone, Debug)]
+pub struct Backoff {
+    first: Duration,
+    most: Duration,
+    seed: u64,
+    failures: u32,
+    draws: u64,
+}
+
+/// Each failure in a row makes the bound so many times as long.
+const GROWTH: u32 = 3;
+/// What lasted for so many times the bound is taken to work: the next failure is a first one again.
+const LASTED: u32 = 2;
+
+impl Backoff {
+    /// Waits of up to `first` after one failure, and of up to `most` after many.
+    pub fn new(first: Duration, most: Duration, seed: u64) -> Self {
+        Backoff { first, most, seed, failures: 0, draws: 0 }
+    }
+
+    /// The wait after a try that went well for so long before it failed; zero for one that never did.
+    pub fn after(&mut self, worked_for: Duration) -> Duration {
+        // A service that takes a call and drops it at once is as overbooked as one that refuses it.
+        if worked_for >= self.bound() * LASTED {
+            self.failures = 0;
+        }
+        self.failures = self.failures.saturating_add(1);
+        self.draws += 1;
+        let draw = xxh3_64_with_seed(&self.draws.to_le_bytes(), self.seed);
+        let share = (draw >> 11) as f64 / (1u64 << 53) as f64;
+        self.bound().mul_f64(0.5 + 0.5 * share)
+    }
+
+    /// Starts over: what failed has moved elsewhere.
+    pub fn reset(&mut self) {
+        self.failures = 0;
+    }
+
+    fn bound(&self) -> Duration {
+        let growth = GROWTH.saturating_pow(self.failures.saturating_sub(1).min(16));
+        self.first.saturating_mul(growth).min(self.most)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const FIRST: Duration = Duration::from_millis(250);
+    const MOST: Duration = Duration::from_secs(10);
+
+    fn waits(seed: u64, count: usize) -> Vec<Duration> {
+        let mut backoff = Backoff::new(FIRST, MOST, seed);
+        (0..count).map(|_| backoff.after(Duration::ZERO)).collect()
+    }
+
+    #[test]
+    fn waits_grow_to_the_cap_and_stay_there() {
+        let waits = waits(1, 40);
+        assert!(waits[0] <= FIRST && waits[0] >= FIRST / 2);
+        assert!(waits[5..].iter().all(|w| *w >= MOST / 2 && *w <= MOST), "{waits:?}");
+    }
+
+    #[test]
+    fn a_hundred_that_fail_together_do_not_come_back_together() {
+        // What lost its service at one moment, as the calls of each tenth of a second.
+        let mut calls = vec![0; 1_200];
+        for seed in 0..100 {
+            let mut at = Duration::ZERO;
+            for wait in waits(seed, 60) {
+                at += wait;
+                if let Some(slot) = calls.get_mut(at.as_millis() as usize / 100) {
+                    *slot += 1;
+                }
+            }
+        }
+        let settled = &calls[100..];
+        assert!(settled.iter().all(|&n| n <= 12), "{settled:?}");
+        assert!(settled.iter().sum::<i32>() < 110 * 20, "about thirteen a second at the cap");
+    }
+
+    #[test]
+    fn only_what_lasted_starts_over() {
+        let mut backoff = Backoff::new(FIRST, MOST, 3);
+        let _ = [(); 6].map(|()| backoff.after(Duration::ZERO));
+        assert!(backoff.after(Duration::from_secs(1)) >= MOST / 2, "taken and dropped is no success");
+        assert!(backoff.after(Duration::from_secs(60)) <= FIRST);
+        let _ = [(); 6].map(|()| backoff.after(Duration::ZERO));
+        backoff.reset();
+        assert!(backoff.after(Duration::ZERO) <= FIRST);
+    }
+}
--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -13,9 +13,10 @@
 use serde::Deserialize;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::backoff::Backoff;
 use super::counters::add;
 use super::pool::Site;
 use super::{Clock, Core};
@@ -25,10 +26,14 @@
 /// Silence after which a watch is given up: an empty line is due every 2 s. What it should have told counts as told
 /// 6 s later, so a new watch must be there well before.
 const SILENCE: Duration = Duration::from_millis(3_200);
-/// For discovery to take a connection and to answer.
-const ANSWER: Duration = Duration::from_millis(1_500);
-/// Between tries.
-const AGAIN: Duration = Duration::from_millis(250);
+/// For discovery to take a connection and to answer. Where it is overbooked, calls wait in turn: one that is given up
+/// has cost its work in vain.
+const ANSWER: Duration = Duration::from_millis(2_500);
+/// Between tries: at first, and at most...
+const AGAIN: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(10));
+/// ...and where more conductors share one discovery, so much for each of them: a call costs discovery work for each
+/// line, waits in turn with all others, and fails where the turn comes too late.
+const AGAIN_EACH: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(200));
 /// Longest line or list that is read.
 const MOST: usize = 4 * 1024 * 1024;
 
@@ -94,12 +99,15 @@
     clock: Clock,
     ids: HashMap<String, HostId>,
     version: Option<u64>,
+    backoff: Backoff,
 }
 
 impl Directory {
     /// An empty directory.
-    pub fn new(core: Core, settings: Settings, names: Names, clock: Clock) -> Self {
-        Directory { core, settings, names, clock, ids: HashMap::new(), version: None }
+    pub fn new(core: Core, settings: Settings, names: Names, clock: Clock, seed: u64) -> Self {
+        let (first, most) = (AGAIN_EACH.0 * settings.routers, AGAIN_EACH.1 * settings.routers);
+        let backoff = Backoff::new(first.max(AGAIN.0), most.max(AGAIN.1), seed);
+        Directory { core, settings, names, clock, ids: HashMap::new(), version: None, backoff }
     }
 
     /// The same number for the same id at every conductor, whatever its order among the rest.
@@ -166,30 +174,35 @@
             if address.has_changed().unwrap_or(false) {
                 tracing::info!("discovery: moved to {}", *address.borrow());
                 self.version = None;
+                self.backoff.reset();
             }
+            let begun = Instant::now();
             let addr = *address.borrow_and_update();
             add(&self.core.counters.watches);
-            tokio::select! {
+            let wait = tokio::select! {
                 ended = self.watch(addr, &told) => {
                     let ended = ended.err().unwrap_or(WatchError::Ended);
-                    tracing::warn!("discovery: watch lost, {ended}; trying again");
+                    let wait = self.backoff.after(begun.elapsed());
+                    tracing::warn!("discovery: watch lost, {ended}; trying again in {} ms", wait.as_millis());
                     self.core.planner.hosts_failed();
+                    wait
                 }
                 Ok(()) = address.changed() => {
                     address.mark_changed();
                     continue;
                 }
-            }
+            };
             tokio::select! {
-                () = sleep(AGAIN) => {}
+                () = sleep(wait) => {}
                 Ok(()) = address.changed() => address.mark_changed(),
             }
         }
     }
 
     async fn watch(&mut self, addr: SocketAddr, told: &watch::Sender<bool>) -> Result<(), WatchError> {
-        // The list that came with the configuration may be old: it is not gone on from.
-        let since = match self.version.filter(|_| *told.borrow()) {
+        // One call, for what has changed since the list at hand, also when that came with the configuration: a whole
+        // list costs discovery more, and another call.
+        let since = match self.version {
             Some(version) => version,
             None => {
                 let mut body = get(addr, "/api/targets").await?;
@@ -214,6 +227,7 @@
                 let line = text.split_to(end + 1);
                 if !line.trim_ascii().is_empty() {
                     self.take(&serde_json::from_slice(&line)?);
+                    told.send_replace(true);
                 }
             }
             if text.len() > MOST {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -5,6 +5,7 @@
 //! connection of the [`pool`], [`relay`] passes the stream's [`events`] on, and [`release`] lets go of what is held.
 
 pub mod attempt;
+pub mod backoff;
 pub mod config;
 pub mod counters;
 pub mod discovery;
--- a/src/node/planner.rs
+++ b/src/node/planner.rs
@@ -177,6 +177,13 @@
                 }
             }
             self.router.handle(self.clock.now(), &events, &mut actions);
+            if tracing::enabled!(tracing::Level::DEBUG) {
+                // A whole record of what the module was told and said, by which a day can be followed.
+                let told = events.iter().filter(|e| !matches!(e, Event::Timer(_)));
+                told.for_each(|event| tracing::debug!("told: {event:?}"));
+                let said = actions.iter().filter(|a| !matches!(a, Action::Wake { .. }));
+                said.for_each(|action| tracing::debug!("said: {action:?}"));
+            }
             events.clear();
             for action in actions.drain(..) {
                 self.act(action);
