--- a/src/logic.rs
+++ b/src/logic.rs
@@ -58,6 +58,7 @@
 const PROBE_CALM: Micros = 2_800_000; // ...and while nothing had to wait, as each has its price
 const PRESSED: Micros = 5_000_000; // for which a wait or an attempt in vain counts as pressure
 const COLD_SHARE: f64 = 0.5; // of the cold budget in use: sends of many routers bunch by chance
+const COLD_GAP: f64 = 2.0; // longest gap between own sends to a cold host, in windows: few see what one takes
 const QUOTA_SLACK: f64 = 1.25; // multiple of an even part of a quota let through: traffic is not even
 const QUOTA_BURST: f64 = 2e6; // of quota that may be used at once
 const ANSWER_MARGIN: Micros = 10_000; // before the deadline at which what is held is answered
@@ -133,6 +134,13 @@
         (rules.start_capacity + (1.0 - rules.start_capacity) * age.max(0.0)).min(1.0)
     }
 
+    /// Rule 4 by chance: of what a cold host is the first choice for, this part goes there, from all routers.
+    fn spared(&self, now: Micros, ask: &NewRequest, part: f64, rules: &Rules) -> bool {
+        let warmth = self.warmth(now, rules);
+        let key = ask.session.map_or(ask.id.0, |session| session.0);
+        warmth < 1.0 && chance(self.id.0, !key) > part * rules.fall_multiple * COLD_SHARE * warmth
+    }
+
     fn takes(&self, now: Micros, ask: &NewRequest, rules: &Rules) -> bool {
         let warm_at = self.started.map_or(Micros::MIN, |at| at.saturating_add(rules.ramp_time));
         self.phase == Phase::Serving
@@ -499,7 +507,9 @@
         let r = self.requests.get(&id)?;
         // The home reader, else the next home that passes; a read and a write must both be left.
         let may_read = r.sent + 2 <= self.set.limits.max_attempts;
-        let homes = self.homes(r, |h| may_read && h.takes(now, &r.ask, &self.set.rules));
+        let rules = &self.set.rules;
+        let takes = |h: &Host| h.takes(now, &r.ask, rules) && !h.spared(now, &r.ask, 1.0, rules);
+        let homes = self.homes(r, |h| may_read && takes(h));
         let paired = homes.iter().find_map(|at| {
             let ready_in = self.read_time(now, at, r) * READ_MARGIN;
             let pick =
@@ -552,7 +562,9 @@
             let weight = room.max(0.0).powf(CHOICE) * reader.map_or(1.0, |from| place(h, from));
             Some((if room > 0.0 { weighted(h.id.0, self.salt ^ r.ask.id.0, weight) } else { room }, h.id))
         };
-        let ranked = self.hosts.values().filter(fits).filter_map(drawn);
+        let all: f64 = self.hosts.values().filter(fits).map(|h| h.warmth(now, &self.set.rules)).sum();
+        let spared = |h: &&Host| h.spared(now, &r.ask, 1.0 / all.max(1e-9), &self.set.rules);
+        let ranked = self.hosts.values().filter(|h| fits(h) && !spared(h)).filter_map(drawn);
         ranked.max_by(|a, b| a.0.total_cmp(&b.0)).map(|best| best.1)
     }
 
@@ -916,7 +928,7 @@
             |h: &&Host| (h.role == Role::Read) == (host.role == Role::Read) && h.phase == Phase::Serving;
         let each = rate / self.hosts.values().filter(same).count().max(1) as f64;
         let budget = each * rules.fall_multiple * rules.start_capacity * COLD_SHARE;
-        (1.0 / budget.max(1e-9)) as Micros
+        (1.0 / budget.max(1e-9)).min(COLD_GAP * rules.overload_for as f64) as Micros
     }
 
     /// What others hold of a writer's memory, from its report; absurd reports are passed over.
