Ask the hosts that a request may go to when it comes; learn from one failure or silence

Reports of `inflight` were never read: the platform's reports name that field 'active'.

Now, where more than eight conductors share a fleet, an arriving request's first three homes are probed (answers come in 3 to 5 ms; 25 ms at most are waited) and three writers of the reader's cell while it reads. A home with twice the mean of requests held gives way; a host that leaves a probe unanswered, or failed, comes last for 0.1 s for each conductor (10 s at a hundred). A writer emptier than the mean gets no more chance for it: reports are late, and one that errs looks empty.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -16,7 +16,7 @@
 
 use crate::api::*;
 
-// Each with its unit and reason; times are in microseconds. None is fitted to one deployment.
+// Times are in microseconds.
 const WINDOW: usize = 4; // of the high tier's first are drawn from: enough to pass a head that does not fit
 const LOOKS: usize = 128; // of each tier's first are looked at in full each time: far above a usual backlog
 const TICK: Micros = 5_000; // between looks at what is held: short against every aim
@@ -48,6 +48,7 @@
 const TRY_SHARE: f64 = 0.6; // most of the time left that one attempt may use while others could follow
 const REST: Micros = 250_000; // for which a host rests after a failure, doubling with each further one...
 const REST_MOST: Micros = 2_000_000; // ...up to this, so that it is soon found when it is back
+const LAST_EACH: Micros = 100_000; // for each router, for which a failed host comes last: few requests tell
 const FAILS_RESTART: u32 = 3; // failures in a row after which a host that works again is taken for cold
 const SPOILT_MOST: u32 = 2; // answers in a row that cannot be read before the next counts as a failure
 const FULL_REST: Micros = 100_000; // for which a host that said "full" is left alone, at least...
@@ -56,11 +57,13 @@
 const READY_MOST: f64 = 0.8; // ...and after which it is let go
 const PROBE_EVERY: Micros = 700_000; // between probes of a writer: its reports are not much fresher...
 const PROBE_CALM: Micros = 2_800_000; // ...and while nothing had to wait, as each has its price
+const FEW_ROUTERS: u32 = 8; // up to which all writers are probed in turn; more ask hosts for each request
+const ASKED: usize = 3; // hosts asked for each step of a request...
+const ASK_AGAIN: Micros = 150_000; // ...unless they were so lately, as reports are no fresher...
+const ASK_WAIT: Micros = 25_000; // ...and the longest wait for their answers: some connections' making
 const PRESSED: Micros = 5_000_000; // for which a wait or an attempt in vain counts as pressure
 const COLD_SHARE: f64 = 0.5; // of the cold budget in use: sends of many routers bunch by chance
 const COLD_GAP: f64 = 2.0; // longest gap between own sends to a cold host, in windows: few see what one takes
-const QUOTA_SLACK: f64 = 1.25; // multiple of an even part of a quota let through: traffic is not even
-const QUOTA_BURST: f64 = 2e6; // of quota that may be used at once
 const ANSWER_MARGIN: Micros = 10_000; // before the deadline at which what is held is answered
 const FOLLOW_AGAIN: Micros = 1_000_000; // between tries to follow the list of hosts
 
@@ -89,7 +92,6 @@
         *self = Fading { value: self.value + gain * (sample - self.value), at: now };
     }
 
-    /// Counts an event: the value over `FADE` is their rate.
     fn count(&mut self, now: Micros) {
         *self = Fading { value: self.get(now, 0.0) + std::f64::consts::LN_2, at: now };
     }
@@ -110,9 +112,15 @@
     spoilt: u32,
     failed_at: Micros,
     rest_until: Micros,
+    /// Until then only where no other host will do.
+    last_until: Micros,
     full_until: BTreeMap<(ClassId, Option<TenantId>), Micros>,
     next_cold: Micros,
     probed_at: Micros,
+    /// A probe is out.
+    asked: bool,
+    /// Requests that others hold there, from the reports.
+    crowd: Option<Fading>,
     /// Attempts without a first answer, by the time they were sent.
     pending: BTreeMap<RequestId, Micros>,
     read_cost: Fading,
@@ -137,7 +145,7 @@
     /// Rule 4 by chance: of what a cold host is the first choice for, this part goes there, from all routers.
     fn spared(&self, now: Micros, ask: &NewRequest, part: f64, rules: &Rules) -> bool {
         let warmth = self.warmth(now, rules);
-        let key = ask.session.map_or(ask.id.0, |session| session.0);
+        let key = ask.session.unwrap_or(TextKey(ask.id.0)).0;
         warmth < 1.0 && chance(self.id.0, !key) > part * rules.fall_multiple * COLD_SHARE * warmth
     }
 
@@ -244,7 +252,6 @@
     ready_since: Micros,
     /// The first attempt that may have had its effect.
     may_have_run: Option<(HostId, Micros)>,
-    over_share: bool,
     /// Ended for the client; only an outcome is still awaited.
     ended: bool,
     begun: Micros,
@@ -259,13 +266,15 @@
     high: BTreeSet<(Micros, RequestId)>,
     low: BTreeSet<(Micros, RequestId)>,
     curves: Vec<Curve>,
-    quotas: Vec<Fading>,
     read_cost: Fading,
     first_took: Fading,
     /// Means: a request's tokens, others' share of a writer's memory, the share of a prompt kept at its home.
     footprint: f64,
     others: f64,
     kept_share: f64,
+    /// Means at readers: requests that others hold, and tokens that were left to be read.
+    crowd: f64,
+    unread: Fading,
     low_next: Micros,
     low_gap: f64,
     salt: u64,
@@ -283,7 +292,6 @@
     pub fn new(settings: Settings, seed: u64) -> Self {
         Router {
             curves: vec![Curve::default(); settings.kinds.len()],
-            quotas: vec![Fading { value: f64::MAX, at: 0 }; settings.tenants.len()],
             read_cost: Fading { value: READ_COST, at: Micros::MIN / 2 },
             first_took: Fading { value: FIRST_TOOK, at: Micros::MIN / 2 },
             salt: seed,
@@ -316,7 +324,13 @@
                 self.ended(now, *request, *host, (*outcome, *last, *kept, *took), out);
             }
             Event::Left(request) => self.left(*request, out),
-            Event::Probed { host, load, .. } => self.report(now, *host, load.as_ref()),
+            Event::Probed { host, outcome, load } => {
+                self.hosts.entry(*host).and_modify(|h| h.asked = false);
+                if matches!(outcome, Outcome::Unreachable | Outcome::TimedOut) {
+                    self.come_last(now, *host);
+                }
+                self.report(now, *host, load.as_ref());
+            }
             Event::Place { .. } => {}
             Event::Timer(_) => self.wake_at = None,
         }
@@ -333,7 +347,6 @@
         let tokens = hint.unwrap_or(ask.most_tokens * LENGTH_GUESS).max(1.0);
         let stretch = (class.aim_per_1000 as f64 * ask.prompt_tokens / 1000.0) as Micros;
         let aim_at = now.saturating_add(class.aim.saturating_add(stretch).min(ask.time_left));
-        let over_share = ask.tenant.is_some_and(|t| self.over_quota(now, t));
         let gain = if self.footprint > 0.0 { FLEET_GAIN } else { 1.0 };
         self.footprint += gain * (ask.prompt_tokens + tokens - self.footprint);
         let request = Request {
@@ -343,34 +356,34 @@
             tokens,
             footprint: ask.prompt_tokens + tokens,
             token_aim,
-            over_share,
             ..Request::default()
         };
         self.requests.insert(ask.id, request);
-        self.hold(ask.id);
+        self.hold(now, ask.id);
+        let homes = self.homes(now, &self.requests[&ask.id], |h| h.takes(now, ask, &self.set.rules));
+        let homes: Vec<_> = homes.iter().map(|h| h.id).collect();
+        self.ask(now, homes, out);
     }
 
-    /// Whether this request goes beyond this router's part of its tenant's quota.
-    fn over_quota(&mut self, now: Micros, tenant: TenantId) -> bool {
-        let Some(quota) = self.quotas.get_mut(tenant.0) else { return false };
-        let per_us = self.set.tenants[tenant.0].quota_per_s * QUOTA_SLACK / f64::from(self.set.routers) / 1e6;
-        let most = (per_us * QUOTA_BURST).max(1.0);
-        *quota = Fading { value: (quota.value + per_us * (now - quota.at) as f64).min(most), at: now };
-        let within = quota.value >= 1.0;
-        quota.value -= if within { 1.0 } else { 0.0 };
-        !within
+    /// Asks hosts that the next step may go to, where many routers share the fleet and each sees little of it.
+    fn ask(&mut self, now: Micros, hosts: impl IntoIterator<Item = HostId>, out: &mut Vec<Action>) {
+        let many = self.set.routers > FEW_ROUTERS && self.set.limits.probes;
+        for id in hosts.into_iter().take(ASKED).filter(|_| many) {
+            let host = self.hosts.get_mut(&id).filter(|h| now >= h.probed_at.saturating_add(ASK_AGAIN));
+            let Some(host) = host else { continue };
+            (host.asked, host.probed_at) = (true, now);
+            out.push(Action::Probe(id));
+        }
     }
 
-    /// Puts a request into its tier: high, or low for what is beyond its tenant's share.
-    fn hold(&mut self, id: RequestId) {
+    /// Puts a request into the high tier, to be read at first or anew.
+    fn hold(&mut self, now: Micros, id: RequestId) {
         self.unplace(id);
         let Some(r) = self.requests.get(&id) else { return };
-        let home = self.homes(r, |h| h.phase == Phase::Serving).first().map(|h| h.id);
+        let home = self.homes(now, r, |h| h.phase == Phase::Serving).first().map(|h| h.id);
         let Some(r) = self.requests.get_mut(&id) else { return };
-        (r.reader, r.home) = (None, home);
-        r.stage = if r.over_share { Stage::Low } else { Stage::High };
-        let tier = if r.over_share { &mut self.low } else { &mut self.high };
-        tier.insert((r.aim_at, id));
+        (r.reader, r.home, r.stage) = (None, home, Stage::High);
+        self.high.insert((r.aim_at, id));
     }
 
     /// Drops the hopeless to the low tier and gives up on what can no longer be served.
@@ -415,8 +428,6 @@
             self.high.remove(&key);
             self.start(now, key.1, reader, writer, out);
         }
-        // Late reads make the next late: of the low tier one at a time, spaced by how late they come. Guards
-        // against any jam, loss of readers or of kept texts; may idle readers if all traffic is low.
         let low_reads = |r: &Request| r.from_low && matches!(r.stage, Stage::Reading | Stage::Writing);
         if self.high.is_empty()
             && now >= self.low_next
@@ -432,8 +443,8 @@
 
     /// The low tier's sends are four times as far apart after one that came late, and half after one in time.
     fn low_went(&mut self, well: bool) {
-        let gap = if well { self.low_gap / 2.0 } else { self.low_gap * 4.0 };
-        let routers = f64::from(self.set.routers.max(1));
+        let (gap, routers) =
+            (self.low_gap * if well { 0.5 } else { 4.0 }, f64::from(self.set.routers.max(1)));
         self.low_gap = gap.clamp(LOW_GAP_LEAST * routers, LOW_GAP_MOST * routers);
     }
 
@@ -448,16 +459,21 @@
         }
         let Some(reader) = reader else { return self.send_write(now, id, writer, out) };
         let (r, host) = (&self.requests[&id], &self.hosts[&reader]);
-        let (expected, load) = (self.read_time(now, host, r), self.reading(host) + unread + READ_EXTRA);
+        let (expected, load) = (self.read_time(now, host, r), self.reading(now, host) + unread + READ_EXTRA);
         if let Some(r) = self.requests.get_mut(&id) {
             (r.stage, r.reader, r.read_load) = (Stage::Reading, Some(reader), load);
         }
         self.reads.count(now);
         self.send(now, id, reader, expected, out);
+        // While the prompt is read, the writers near tell how full they are.
+        let cell = self.hosts[&reader].cell;
+        let near = |h: &&Host| h.role != Role::Read && h.cell == cell && h.phase == Phase::Serving;
+        let drawn = |h: &Host| ((chance(h.id.0, !id.0 ^ self.salt) * 1e9) as u64, h.id);
+        let near: BTreeSet<_> = self.hosts.values().filter(near).map(drawn).collect();
+        self.ask(now, near.into_iter().map(|(_, id)| id), out);
     }
 
-    /// The test: `None` unless the writer keeps the pace of all, has memory, and the first token comes in
-    /// time. The figure is the room that would be left, as a share. Untested, only the room counts.
+    /// The test: the room left, as a share, if the writer keeps the pace of all, has memory, and is in time.
     fn room(&self, now: Micros, r: &Request, host: &Host, ready_in: f64, tested: bool) -> Option<f64> {
         let joins = !host.streams.contains(&r.ask.id);
         let load = self.load(now, host) + if joins { 1.0 } else { 0.0 };
@@ -484,12 +500,11 @@
     }
 
     /// Tokens that own requests at a writer hold, or will.
-    fn own_tokens(&self, host: &Host, of: impl Fn(&Request) -> bool) -> f64 {
-        let own = host.streams.iter().filter_map(|id| self.requests.get(id));
-        own.filter(|r| of(r)).map(|r| r.footprint).sum()
+    fn own_tokens(&self, host: &Host, of: impl Fn(&&Request) -> bool) -> f64 {
+        host.streams.iter().filter_map(|id| self.requests.get(id)).filter(of).map(|r| r.footprint).sum()
     }
 
-    /// Tokens that others hold at a writer: its last report, fading towards the mean of all writers'.
+    /// Tokens that others hold at a writer, by its last report and the mean of all writers'.
     fn others_at(&self, now: Micros, host: &Host) -> f64 {
         let mean = if host.memory.is_finite() { self.others * host.memory } else { 0.0 };
         host.others.map_or(mean, |o| o.get(now, mean))
@@ -505,11 +520,15 @@
     /// Reader and writer for a held request, if any pass.
     fn pair(&self, now: Micros, id: RequestId, tested: bool) -> Option<(Option<HostId>, HostId)> {
         let r = self.requests.get(&id)?;
-        // The home reader, else the next home that passes; a read and a write must both be left.
+        // A read and a write must both be left.
         let may_read = r.sent + 2 <= self.set.limits.max_attempts;
         let rules = &self.set.rules;
         let takes = |h: &Host| h.takes(now, &r.ask, rules) && !h.spared(now, &r.ask, 1.0, rules);
-        let homes = self.homes(r, |h| may_read && takes(h));
+        let mut homes = self.homes(now, r, |h| may_read && takes(h));
+        if homes.iter().take(ASKED).any(|h| h.asked && now < h.probed_at + ASK_WAIT) {
+            return None;
+        }
+        homes.sort_by_key(|h| self.crowd_at(now, h) > 2.0 * self.crowd + 1.0);
         let paired = homes.iter().find_map(|at| {
             let ready_in = self.read_time(now, at, r) * READ_MARGIN;
             let pick =
@@ -518,8 +537,7 @@
             let spills = chance(at.id.0, r.ask.id.0) > at.stay;
             Some((Some(at.id), pick(spills).or_else(|| pick(!spills))?))
         });
-        // Exception: where no reader passes, a mixed host that passes reads by itself. Guards against readers
-        // drained, lost or jammed; slows that host's streams, so it comes last.
+        // Exception: where no reader passes, a mixed host that passes reads by itself, which slows its streams.
         let in_time = |h: &Host| self.read_time(now, h, r) * READ_MARGIN <= (r.aim_at - now) as f64;
         let reads = |h: &Host| h.role == Role::Both || self.set.limits.writers_read;
         let fits = |h: &Host| reads(h) && (!tested || in_time(h));
@@ -528,14 +546,16 @@
 
     /// Rendezvous hashing of the shared beginning (else the session) over the readers, alike at every router.
     /// A beginning has several homes, lest it outgrow one reader, each session one of them, and a stand-by.
-    /// A text read anywhere else would push others out of the memory there.
-    fn homes(&self, r: &Request, of: impl Fn(&Host) -> bool) -> Vec<&Host> {
+    fn homes(&self, now: Micros, r: &Request, of: impl Fn(&Host) -> bool) -> Vec<&Host> {
         let session = r.ask.session.unwrap_or(TextKey(r.ask.id.0));
         let key = r.ask.prefix.unwrap_or(session);
         // Fewer begin where the cell has no writers to take them, as their states would crowd its link.
         let place = |h: &Host, key: TextKey| weighted(h.id.0, key.0, (2.0 * h.stay).clamp(STAY_LEAST, 1.0));
         let by = |key| move |a: &&Host, b: &&Host| place(b, key).total_cmp(&place(a, key));
         let mut homes: Vec<_> = self.hosts.values().filter(|h| h.role == Role::Read && of(h)).collect();
+        // What failed is passed over, as if it were not there, while there are others.
+        let others = homes.iter().any(|h| !self.last(now, h));
+        homes.retain(|h| !others || !self.last(now, h));
         homes.sort_by(by(key));
         let zones = homes.iter().map(|h| h.zone).collect::<BTreeSet<_>>().len();
         let spread = homes.len().div_ceil(READERS_A_HOME).max(zones);
@@ -550,7 +570,6 @@
         &self, now: Micros, r: &Request, reader: Option<&Host>, ready_in: f64, tested: bool,
         wanted: impl Fn(&Host) -> bool,
     ) -> Option<HostId> {
-        // What leaves its cell goes where the list shows writers to spare, mostly in the same zone.
         let place = |h: &Host, from: &Host| match (from.cell == h.cell, from.zone == h.zone) {
             (true, _) => 1.0,
             (_, near) => h.spare * if near { 1.0 } else { FAR_WEIGHT },
@@ -559,20 +578,22 @@
         let fits = |h: &&Host| h.role != Role::Read && takes(h) && wanted(h);
         let drawn = |h: &Host| {
             let room = self.room(now, r, h, ready_in, tested)?;
-            let weight = room.max(0.0).powf(CHOICE) * reader.map_or(1.0, |from| place(h, from));
-            Some((if room > 0.0 { weighted(h.id.0, self.salt ^ r.ask.id.0, weight) } else { room }, h.id))
+            // Emptier than most is no better: reports are late, and what fails at once looks empty.
+            let weight = room.min((1.0 - self.others).max(SPARE_LEAST)).max(0.0).powf(CHOICE);
+            let weight = weight * reader.map_or(1.0, |from| place(h, from));
+            let rank = if room > 0.0 { weighted(h.id.0, self.salt ^ r.ask.id.0, weight) } else { room };
+            Some((!self.last(now, h), rank, h.id))
         };
         let all: f64 = self.hosts.values().filter(fits).map(|h| h.warmth(now, &self.set.rules)).sum();
         let spared = |h: &&Host| h.spared(now, &r.ask, 1.0 / all.max(1e-9), &self.set.rules);
         let ranked = self.hosts.values().filter(|h| fits(h) && !spared(h)).filter_map(drawn);
-        ranked.max_by(|a, b| a.0.total_cmp(&b.0)).map(|best| best.1)
+        ranked.max_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))).map(|best| best.2)
     }
 
     /// Tokens of a prompt that this router knows to be kept at a host.
     fn known_at(host: &Host, r: &Request) -> f64 {
-        let kept = |key: Option<TextKey>, most: f64| {
-            key.and_then(|k| host.kept.get(&k)).map_or(0.0, |&tokens| tokens.min(most))
-        };
+        let at = |key: Option<TextKey>| key.and_then(|k| host.kept.get(&k)).copied().unwrap_or(0.0);
+        let kept = |key, most: f64| at(key).min(most);
         kept(r.ask.prefix, r.ask.prefix_tokens).max(kept(r.ask.session, r.ask.prompt_tokens))
     }
 
@@ -582,16 +603,22 @@
         r.ask.prompt_tokens - Self::known_at(host, r).max(usual)
     }
 
-    /// Unread tokens of the own reads out.
-    fn reading(&self, host: &Host) -> f64 {
+    fn crowd_at(&self, now: Micros, host: &Host) -> f64 {
+        host.crowd.map_or(0.0, |c| c.get(now, self.crowd))
+    }
+
+    /// Unread tokens of the own reads out, and of others' as far as the reader told of them.
+    fn reading(&self, now: Micros, host: &Host) -> f64 {
         let out = host.pending.keys().filter_map(|id| self.requests.get(id));
-        out.filter(|r| r.stage == Stage::Reading).map(|r| r.unread + READ_EXTRA).sum()
+        let own: f64 = out.filter(|r| r.stage == Stage::Reading).map(|r| r.unread + READ_EXTRA).sum();
+        own + self.crowd_at(now, host) * (self.unread.value + READ_EXTRA)
     }
 
     /// Time in which a reader would have read this prompt, after the own reads before it.
     fn read_time(&self, now: Micros, host: &Host, r: &Request) -> f64 {
         let cost = host.read_cost.get(now, self.read_cost.value) / host.warmth(now, &self.set.rules);
-        ((self.reading(host) + self.unread_at(host, r) + READ_EXTRA) * cost).max(host.oldest_pending(now))
+        ((self.reading(now, host) + self.unread_at(host, r) + READ_EXTRA) * cost)
+            .max(host.oldest_pending(now))
     }
 
     /// Sends on the states that wait: to the admitted writer if it still passes, else to another.
@@ -607,7 +634,7 @@
             } else if spent || held_for >= READY_MOST {
                 // Guards the pin limit: nothing takes this state in time.
                 out.push(Action::Release(id));
-                self.hold(id);
+                self.hold(now, id);
             }
         }
     }
@@ -697,7 +724,6 @@
             if from_low {
                 self.low_went(outcome == Outcome::Read && now <= aim_at);
             }
-            // What timed out took longer still: a jam must not be judged by those alone that came through it.
             match outcome {
                 Outcome::TimedOut if was_read => self.read_took(now, id, at, unread, took),
                 Outcome::TimedOut => self.first_token(now, at, took),
@@ -730,7 +756,7 @@
         }
         match (r.stage, outcome) {
             (Stage::Reading, Outcome::Read) => (r.stage, r.ready_since) = (Stage::Ready, now),
-            (Stage::Reading, _) | (_, Outcome::NoState) => self.hold(id),
+            (Stage::Reading, _) | (_, Outcome::NoState) => self.hold(now, id),
             (_, Outcome::Moot) => self.give_up(id, out),
             _ => {
                 let ran = !matches!(outcome, Outcome::Full | Outcome::Unreachable);
@@ -738,11 +764,11 @@
                     r.may_have_run = Some((at, sent_at));
                 }
                 if r.reader.is_none() {
-                    self.hold(id);
+                    self.hold(now, id);
                 } else if outcome == Outcome::Spoilt {
                     // An answer had begun, so the state has moved: another writer would have none.
                     out.push(Action::Release(id));
-                    self.hold(id);
+                    self.hold(now, id);
                 } else {
                     (r.stage, r.ready_since) = (Stage::Ready, now);
                 }
@@ -764,6 +790,7 @@
     /// A read took this long, or longer, for all the own tokens up to it: others' reads show in the cost.
     fn read_took(&mut self, now: Micros, id: RequestId, at: HostId, unread: f64, took: Micros) {
         let (Some(r), Some(host)) = (self.requests.get(&id), self.hosts.get_mut(&at)) else { return };
+        self.unread.follow(now, unread);
         let cost = took as f64 / (r.read_load - r.unread + unread).max(READ_EXTRA);
         host.read_cost.learn(now, self.read_cost.value, cost, HOST_GAIN);
         self.read_cost.follow(now, cost);
@@ -786,7 +813,17 @@
         host.kept.extend(r.ask.session.map(|key| (key, r.ask.prompt_tokens)));
     }
 
-    /// A failure rests the host, longer each time; one of many sent before it counts no further.
+    fn come_last(&mut self, now: Micros, at: HostId) {
+        let until = now + LAST_EACH * Micros::from(self.set.routers);
+        self.hosts.entry(at).and_modify(|h| h.last_until = until);
+    }
+
+    /// Whether a host comes after all others: it failed lately, or leaves a probe without an answer.
+    fn last(&self, now: Micros, host: &Host) -> bool {
+        now < host.last_until || (host.asked && now >= host.probed_at + ASK_WAIT)
+    }
+
+    /// A failure rests the host, longer each time; one sent before it counts no further.
     fn failed(&mut self, now: Micros, at: HostId, sent_at: Micros, out: &mut Vec<Action>) {
         let counts = |host: &&mut Host| host.fails == 0 || sent_at >= host.failed_at;
         let Some(host) = self.hosts.get_mut(&at).filter(counts) else { return };
@@ -795,14 +832,14 @@
         if host.fails == FAILS_RESTART {
             out.push(Action::Log(format!("host {} fails again and again: single trials only", at.0)));
         }
+        self.come_last(now, at);
     }
 
     /// An answer of any use ends the rest; after a long silence the host is taken for cold.
     fn worked(&mut self, now: Micros, at: HostId) {
         let Some(host) = self.hosts.get_mut(&at) else { return };
-        if host.fails >= FAILS_RESTART
-            && host.started.is_none_or(|s| s < host.failed_at - self.set.rules.ramp_time)
-        {
+        let before = host.failed_at - self.set.rules.ramp_time;
+        if host.fails >= FAILS_RESTART && host.started.is_none_or(|s| s < before) {
             host.started = Some(now);
             self.put_off(now, at);
         }
@@ -890,6 +927,7 @@
             host.phase = m.phase;
             if m.started > host.started {
                 (host.started, host.next_cold) = (m.started, 0);
+                (host.fails, host.rest_until, host.last_until) = (0, 0, 0);
                 host.kept.clear();
             }
             if host.next_cold == 0 && m.started.is_some() {
@@ -918,8 +956,7 @@
         }
     }
 
-    /// Rule 4: least time between own sends to a starting host, even within this router's part of the start
-    /// capacity, measured by what a host of that role takes now. It may be far over the window.
+    /// Rule 4: least time between own sends to a starting host, by what a host of that role takes now.
     fn cold_gap(&self, now: Micros, to: HostId) -> Micros {
         let Some(host) = self.hosts.get(&to) else { return 0 };
         let rules = &self.set.rules;
@@ -933,26 +970,33 @@
 
     /// What others hold of a writer's memory, from its report; absurd reports are passed over.
     fn report(&mut self, now: Micros, at: HostId, load: Option<&Load>) {
+        let held = load.and_then(|load| load.in_flight).filter(|held| (0.0..=1e4).contains(held));
+        if let (Some(held), Some(host)) = (held, self.hosts.get_mut(&at).filter(|h| h.role == Role::Read)) {
+            let others = (held - host.pending.len() as f64).max(0.0);
+            host.crowd = Some(Fading { value: others, at: now });
+            self.crowd += 2.0 * FLEET_GAIN * (others - self.crowd);
+        }
         let host = self.hosts.get(&at).filter(|h| h.role != Role::Read && h.memory.is_finite());
         let share = load.and_then(|load| load.memory).filter(|share| (0.0..=2.0).contains(share));
         let (Some(host), Some(share)) = (host, share) else { return };
         let begun = self.own_tokens(host, |r| r.stage == Stage::Streaming);
         let others = (share * host.memory - begun).max(0.0);
-        self.others += FLEET_GAIN * (others / host.memory.max(1.0) - self.others);
+        let gain = if self.others > 0.0 { 2.0 * FLEET_GAIN } else { 1.0 };
+        self.others += gain * (others / host.memory.max(1.0) - self.others);
         self.hosts.entry(at).and_modify(|h| h.others = Some(Fading { value: others, at: now }));
     }
 
     /// Asks the writers how much others hold there, while there is anything to decide.
     fn probe(&mut self, now: Micros, out: &mut Vec<Action>) {
-        if !self.set.limits.probes || self.set.routers < 2 || self.requests.is_empty() {
+        let few = (2..=FEW_ROUTERS).contains(&self.set.routers);
+        if !few || !self.set.limits.probes || self.requests.is_empty() {
             return;
         }
         if !self.high.is_empty() || !self.low.is_empty() {
             self.pressed_at = now;
         }
         let pressed = now < self.pressed_at.saturating_add(PRESSED);
-        // All routers' probes cost the hosts work: together no more than two routers' would.
-        let every = if pressed { PROBE_EVERY } else { PROBE_CALM } as f64 * f64::from(self.set.routers) / 2.0;
+        let every = if pressed { PROBE_EVERY } else { PROBE_CALM } as f64;
         for host in self.hosts.values_mut().filter(|h| h.role != Role::Read && h.phase == Phase::Serving) {
             // By chance, lest all are asked at once for ever.
             let gap = every * (0.75 + 0.5 * chance(host.id.0, host.probed_at as u64 ^ self.salt));
@@ -980,8 +1024,8 @@
     /// One timer at a time: while anything is held, or the list must be asked for again.
     fn set_wake(&mut self, now: Micros, out: &mut Vec<Action>) {
         let held = self.requests.values().any(|r| matches!(r.stage, Stage::High | Stage::Low | Stage::Ready));
-        let asking = self.set.ask_for_list && !self.following;
-        let after = if held { TICK } else { FOLLOW_AGAIN };
+        let (asking, after) =
+            (self.set.ask_for_list && !self.following, if held { TICK } else { FOLLOW_AGAIN });
         if (held || asking) && self.wake_at.is_none_or(|at| at > now + after) {
             self.wake_at = Some(now + after);
             out.push(Action::Wake { token: 0, after });
--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -65,12 +65,16 @@
     cached_tokens: f64,
 }
 
-/// A load report; names as the platform's settings give them on sockets.
+/// A load report. The settings name its fields; those of the simulator's wire are taken as well as the protocol's.
 #[derive(Deserialize)]
 struct Report {
+    #[serde(alias = "active")]
     inflight: Option<f64>,
+    #[serde(alias = "waiting")]
     queue: Option<f64>,
+    #[serde(alias = "cpu")]
     util: Option<f64>,
+    #[serde(alias = "avg_ms")]
     latency_ms: Option<f64>,
     x0: Option<f64>,
     x1: Option<f64>,
