--- a/src/logic.rs
+++ b/src/logic.rs
@@ -365,7 +365,7 @@
         self.ask(now, homes, out);
     }
 
-    /// Asks hosts that the next step may go to, where many routers share the fleet and each sees little of it.
+    /// Asks hosts that the next step may go to, where routers are many and each sees little.
     fn ask(&mut self, now: Micros, hosts: impl IntoIterator<Item = HostId>, out: &mut Vec<Action>) {
         let many = self.set.routers > FEW_ROUTERS && self.set.limits.probes;
         for id in hosts.into_iter().take(ASKED).filter(|_| many) {
@@ -537,7 +537,7 @@
             let spills = chance(at.id.0, r.ask.id.0) > at.stay;
             Some((Some(at.id), pick(spills).or_else(|| pick(!spills))?))
         });
-        // Exception: where no reader passes, a mixed host that passes reads by itself, which slows its streams.
+        // Exception: where no reader passes, a mixed host that passes reads by itself, last as it slows it.
         let in_time = |h: &Host| self.read_time(now, h, r) * READ_MARGIN <= (r.aim_at - now) as f64;
         let reads = |h: &Host| h.role == Role::Both || self.set.limits.writers_read;
         let fits = |h: &Host| reads(h) && (!tested || in_time(h));
