Keep what must not run twice away from writers far emptier than the rest

Reports show these writers: 0.7 to 2.6 requests held where the others hold 8 to 15, and 0.06 to 0.09 of memory against 0.4 to 0.7. At fault: choose_writer took the emptiest for the best.

A warm writer with less than 0.4 of the mean of memory held is now the last choice for what must not run twice. What is safe goes on trying it, so that it fills again when it works.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -49,6 +49,8 @@
 const REST: Micros = 250_000; // for which a host rests after a failure, doubling with each further one...
 const REST_MOST: Micros = 2_000_000; // ...up to this, so that it is soon found when it is back
 const LAST_EACH: Micros = 100_000; // for each router, for which a failed host comes last: few requests tell
+const HOLLOW: f64 = 0.4; // of the mean load, under which a warm writer gets nothing that must not run twice,
+const HOLLOW_LEAST: f64 = 0.05; // while the mean is above this share of memory
 const FAILS_RESTART: u32 = 3; // failures in a row after which a host that works again is taken for cold
 const SPOILT_MOST: u32 = 2; // answers in a row that cannot be read before the next counts as a failure
 const FULL_REST: Micros = 100_000; // for which a host that said "full" is left alone, at least...
@@ -108,7 +110,6 @@
     phase: Phase,
     started: Option<Micros>,
     fails: u32,
-    /// Answers in a row that could not be read.
     spoilt: u32,
     failed_at: Micros,
     rest_until: Micros,
@@ -117,7 +118,6 @@
     full_until: BTreeMap<(ClassId, Option<TenantId>), Micros>,
     next_cold: Micros,
     probed_at: Micros,
-    /// A probe is out.
     asked: bool,
     /// Requests that others hold there, from the reports.
     crowd: Option<Fading>,
@@ -248,9 +248,8 @@
     /// Tokens to read at its reader when it was sent, its own among them.
     read_load: f64,
     from_low: bool,
-    /// Since when a state waits with no attempt out.
     ready_since: Micros,
-    /// The first attempt that may have had its effect.
+
     may_have_run: Option<(HostId, Micros)>,
     /// Ended for the client; only an outcome is still awaited.
     ended: bool,
@@ -500,7 +499,6 @@
         host.streams.len() as f64 + self.others_at(now, host) / self.footprint.max(1.0)
     }
 
-    /// Tokens that own requests at a writer hold, or will.
     fn own_tokens(&self, host: &Host, of: impl Fn(&&Request) -> bool) -> f64 {
         host.streams.iter().filter_map(|id| self.requests.get(id)).filter(of).map(|r| r.footprint).sum()
     }
@@ -575,6 +573,7 @@
             (_, near) => h.spare * if near { 1.0 } else { FAR_WEIGHT },
         };
         let takes = |h: &Host| h.takes(now, &r.ask, &self.set.rules) && self.may_run_at(now, r, h.id);
+        let once = self.set.classes[r.ask.class.0].effect == Effect::Unsafe;
         let fits = |h: &&Host| h.role != Role::Read && takes(h) && wanted(h);
         let drawn = |h: &Host| {
             let room = self.room(now, r, h, ready_in, tested)?;
@@ -582,7 +581,7 @@
             let weight = room.min((1.0 - self.others).max(SPARE_LEAST)).max(0.0).powf(CHOICE);
             let weight = weight * reader.map_or(1.0, |from| place(h, from));
             let rank = if room > 0.0 { weighted(h.id.0, self.salt ^ r.ask.id.0, weight) } else { room };
-            Some((!self.last(now, h), rank, h.id))
+            Some((!(self.last(now, h) || once && self.hollow(now, h)), rank, h.id))
         };
         let all: f64 = self.hosts.values().filter(fits).map(|h| h.warmth(now, &self.set.rules)).sum();
         let spared = |h: &&Host| h.spared(now, &r.ask, 1.0 / all.max(1e-9), &self.set.rules);
@@ -603,15 +602,11 @@
         r.ask.prompt_tokens - Self::known_at(host, r).max(usual)
     }
 
-    fn crowd_at(&self, now: Micros, host: &Host) -> f64 {
-        host.crowd.map_or(0.0, |c| c.get(now, self.crowd))
-    }
-
     /// Unread tokens of the own reads out, and of others' as far as the reader told of them.
     fn reading(&self, now: Micros, host: &Host) -> f64 {
         let out = host.pending.keys().filter_map(|id| self.requests.get(id));
         let own: f64 = out.filter(|r| r.stage == Stage::Reading).map(|r| r.unread + READ_EXTRA).sum();
-        own + self.crowd_at(now, host) * (self.unread.value + READ_EXTRA)
+        own + host.crowd.map_or(0.0, |c| c.get(now, self.crowd)) * (self.unread.value + READ_EXTRA)
     }
 
     /// Time in which a reader would have read this prompt, after the own reads before it.
@@ -823,6 +818,13 @@
         now < host.last_until || (host.asked && now >= host.probed_at + ASK_WAIT)
     }
 
+    /// Far emptier than the rest though warm, as a writer is that answers with errors at once.
+    fn hollow(&self, now: Micros, host: &Host) -> bool {
+        let mean = self.others * host.memory;
+        let empty = host.others.is_some_and(|others| others.value < HOLLOW * mean);
+        empty && self.others > HOLLOW_LEAST && host.warmth(now, &self.set.rules) >= 1.0
+    }
+
     /// A failure rests the host, longer each time; one sent before it counts no further.
     fn failed(&mut self, now: Micros, at: HostId, sent_at: Micros, out: &mut Vec<Action>) {
         let counts = |host: &&mut Host| host.fails == 0 || sent_at >= host.failed_at;
@@ -998,7 +1000,6 @@
         let pressed = now < self.pressed_at.saturating_add(PRESSED);
         let every = if pressed { PROBE_EVERY } else { PROBE_CALM } as f64;
         for host in self.hosts.values_mut().filter(|h| h.role != Role::Read && h.phase == Phase::Serving) {
-            // By chance, lest all are asked at once for ever.
             let gap = every * (0.75 + 0.5 * chance(host.id.0, host.probed_at as u64 ^ self.salt));
             if now >= host.probed_at.saturating_add(gap as Micros) {
                 host.probed_at = now;
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -304,6 +304,36 @@
     assert!((0..500).all(|_| probed(&rig.tick(10 * MS)).is_empty()));
 }
 
+#[test]
+fn what_must_not_run_twice_avoids_a_writer_far_emptier_than_the_rest() {
+    // A writer that answers with errors at once holds nothing, and so would look like the one with most room.
+    let members: Vec<_> = (10..14).map(|h| member(h, 1)).chain([member(READER, 0)]).collect();
+    let taken_by_the_empty = |effect| {
+        let mut set = settings();
+        (set.classes[0].effect, set.kinds[1].memory) = (effect, Some(1e6));
+        let mut taken = 0;
+        for router in 0..100 {
+            let mut rig = Rig { router: croftsill::Router::new(set.clone(), router), now: 100 * S };
+            rig.step(0, &[Event::Hosts { whole: true, members: members.clone() }]);
+            let held =
+                |host| Some(Load { memory: Some(if host == 10 { 0.01 } else { 0.3 }), ..Load::default() });
+            for host in [11, 12, 13, 10] {
+                rig.step(
+                    0,
+                    &[Event::Probed { host: HostId(host), outcome: Outcome::Served, load: held(host) }],
+                );
+            }
+            rig.request(1);
+            taken += usize::from(sent_to(&rig.end(1, READER, Outcome::Read)) == Some(10));
+        }
+        taken
+    };
+    assert_eq!(taken_by_the_empty(Effect::Unsafe), 0);
+    // What may be repeated tries it as often as any other, so that it is found when it works again.
+    let safe = taken_by_the_empty(Effect::Safe);
+    assert!((10..50).contains(&safe), "{safe} of 100");
+}
+
 #[test]
 fn a_state_whose_aim_is_past_goes_on_at_once() {
     let mut rig = Rig::new(settings(), &[member(READER, 0), member(WRITER, 1)]);
