Let emptiness speak against a writer only where conductors are many

With two conductors half of a writer's streams are one's own, so what others hold there tells little, and reports are fresh.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -519,7 +519,6 @@
     /// Reader and writer for a held request, if any pass.
     fn pair(&self, now: Micros, id: RequestId, tested: bool) -> Option<(Option<HostId>, HostId)> {
         let r = self.requests.get(&id)?;
-        // A read and a write must both be left.
         let may_read = r.sent + 2 <= self.set.limits.max_attempts;
         let rules = &self.set.rules;
         let takes = |h: &Host| h.takes(now, &r.ask, rules) && !h.spared(now, &r.ask, 1.0, rules);
@@ -551,7 +550,6 @@
         let place = |h: &Host, key: TextKey| weighted(h.id.0, key.0, (2.0 * h.stay).clamp(STAY_LEAST, 1.0));
         let by = |key| move |a: &&Host, b: &&Host| place(b, key).total_cmp(&place(a, key));
         let mut homes: Vec<_> = self.hosts.values().filter(|h| h.role == Role::Read && of(h)).collect();
-        // What failed is passed over, as if it were not there, while there are others.
         let others = homes.iter().any(|h| !self.last(now, h));
         homes.retain(|h| !others || !self.last(now, h));
         homes.sort_by(by(key));
@@ -578,7 +576,8 @@
         let drawn = |h: &Host| {
             let room = self.room(now, r, h, ready_in, tested)?;
             // Emptier than most is no better: reports are late, and what fails at once looks empty.
-            let weight = room.min((1.0 - self.others).max(SPARE_LEAST)).max(0.0).powf(CHOICE);
+            let most = if self.set.routers > FEW_ROUTERS { 1.0 - self.others } else { 1.0 };
+            let weight = room.min(most.max(SPARE_LEAST)).max(0.0).powf(CHOICE);
             let weight = weight * reader.map_or(1.0, |from| place(h, from));
             let rank = if room > 0.0 { weighted(h.id.0, self.salt ^ r.ask.id.0, weight) } else { room };
             Some((!(self.last(now, h) || once && self.hollow(now, h)), rank, h.id))
@@ -820,9 +819,9 @@
 
     /// Far emptier than the rest though warm, as a writer is that answers with errors at once.
     fn hollow(&self, now: Micros, host: &Host) -> bool {
-        let mean = self.others * host.memory;
-        let empty = host.others.is_some_and(|others| others.value < HOLLOW * mean);
-        empty && self.others > HOLLOW_LEAST && host.warmth(now, &self.set.rules) >= 1.0
+        let tells = self.set.routers > FEW_ROUTERS && self.others > HOLLOW_LEAST;
+        let empty = host.others.is_some_and(|o| o.value < HOLLOW * self.others * host.memory);
+        tells && empty && host.warmth(now, &self.set.rules) >= 1.0
     }
 
     /// A failure rests the host, longer each time; one sent before it counts no further.
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -311,6 +311,7 @@
     let taken_by_the_empty = |effect| {
         let mut set = settings();
         (set.classes[0].effect, set.kinds[1].memory) = (effect, Some(1e6));
+        set.routers = 100;
         let mut taken = 0;
         for router in 0..100 {
             let mut rig = Rig { router: croftsill::Router::new(set.clone(), router), now: 100 * S };
