Spread the come-back times of refusals by chance

Need: what is refused in one moment, by any number of conductors, came back in one moment: give_up named the longest time that clients heed to all.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -29,6 +29,7 @@
 const FADE: f64 = 6e6; // in which what is known of one host fades by half towards what is known of all
 const FLEET_FADE: f64 = 8e6; // and in which a mean over all hosts turns half towards a new sample
 const LENGTH_GUESS: f64 = 0.3; // share of the most tokens taken as the answer's length without a hint
+const COME_BACK: f64 = 0.6; // part of the longest come-back time spread by chance, lest all return at once
 const LOW_GAP_LEAST: f64 = 5_000.0; // between the fleet's sends of the low tier, while they come in time...
 const LOW_GAP_MOST: f64 = 80_000.0; // ...and while they come late
 const READ_EXTRA: f64 = 300.0; // tokens added to each read for what does not depend on its length
@@ -389,7 +390,6 @@
     fn sort_tiers(&mut self, now: Micros, out: &mut Vec<Action>) {
         let first = self.quickest(false, |h| self.first_time(now, h));
         for low in [false, true] {
-            // Only each tier's first are asked for their reads, to bound the work; the clock is, for all.
             let late = |(rank, (_, id)): &(usize, &(Micros, RequestId))| {
                 let r = &self.requests[id];
                 let read = || self.quickest(true, |h| self.read_time(now, h, r)) + first;
@@ -530,7 +530,6 @@
             let ready_in = self.read_time(now, at, r) * READ_MARGIN;
             let pick =
                 |far| self.choose_writer(now, r, Some(at), ready_in, tested, |h| far != (h.cell == at.cell));
-            // Exception: of a cell that reads more than its writers can take, the rest is written elsewhere.
             let spills = chance(at.id.0, r.ask.id.0) > at.stay;
             Some((Some(at.id), pick(spills).or_else(|| pick(!spills))?))
         });
@@ -879,7 +878,9 @@
             matches!(self.set.classes[r.ask.class.0].effect, Effect::Safe | Effect::Keyed(Group::All, _));
         let harmless = repeats || r.may_have_run.is_none();
         out.push(if harmless {
-            Action::Refuse { request: id, come_back: self.set.limits.come_back }
+            let share = 1.0 - COME_BACK * chance(id.0 as u32, self.salt);
+            let come_back = self.set.limits.come_back.map(|most| (most as f64 * share) as Micros);
+            Action::Refuse { request: id, come_back }
         } else {
             Action::Fail(id)
         });
