--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -32,6 +32,7 @@
     probe
     read_lost
     reload
+    returning
     safe_broken_before
     served
     sigterm
--- a/tests/player/mod.rs
+++ b/tests/player/mod.rs
@@ -327,14 +327,23 @@
     let list = names.iter().map(|n| target(&base, n.trim_start_matches('!'), "Ready"));
     let list = list.collect::<Vec<_>>().join(",");
     let told = if scripted { channel().0 } else { discovery(&base, list) };
-    // The same platform where instances may be probed.
-    let (front, probes) = if front == "probing" { ("platform", true) } else { (front, false) };
+    // The same platform where instances may be probed, or a conductor that comes back with an old list.
+    let (front, changed) = match front {
+        "probing" => ("platform", Some(("\"mayProbe\": false", "\"mayProbe\": true".into()))),
+        "returning" => {
+            let known = names.iter().filter(|n| **n != "d").map(|n| target(&base, n, "Ready"));
+            let known = known.collect::<Vec<_>>().join(",");
+            let known = format!(r#""known":{{"version":41,"full":true,"servers":[{known}]}},"settings""#);
+            ("platform", Some(("\"settings\"", known)))
+        }
+        _ => (front, None),
+    };
     let mut program = match front {
         "platform" => {
             let config = platform(&base);
-            if probes {
+            if let Some((from, to)) = changed {
                 let text = std::fs::read_to_string(&config).expect("the file just written");
-                file(&base, "config.json", &text.replace("\"mayProbe\": false", "\"mayProbe\": true"));
+                file(&base, "config.json", &text.replace(from, &to));
             }
             Program::start(&base, &[], &[("LB_CONFIG", &config)])
         }
