Give operators a front of their own: maintenance of instances, drains, health

membership lays bans over discovery's list, fleet tells planner and pool of both as one view, readiness says what the conductor does with clients, front/operator takes the calls. An attempt looks once more whether its instance is ready when its connection stands. After a ban the planner's decisions are waited for before the yes.

--- a/src/main.rs
+++ b/src/main.rs
@@ -11,12 +11,16 @@
 use croftsill::node::config::{Chat, ConfigError, Platform};
 use croftsill::node::counters::Counters;
 use croftsill::node::discovery::Directory;
+use croftsill::node::fleet::Fleet;
 use croftsill::node::front::chat::ChatFront;
 use croftsill::node::front::intake::Intake;
+use croftsill::node::front::operator::{self, Operator};
 use croftsill::node::front::platform::PlatformFront;
 use croftsill::node::front::serve;
+use croftsill::node::membership::Membership;
 use croftsill::node::planner::Planner;
 use croftsill::node::pool::{Pool, Site};
+use croftsill::node::readiness::Happening;
 use croftsill::node::shutdown::Shutdown;
 use croftsill::node::{Clock, Core, reload, tend_fleet};
 use tokio::net::TcpListener;
@@ -54,26 +58,30 @@
     spawn_local(tend_fleet(core.clone(), orders));
     spawn_local(async move { pool.tidy().await });
 
-    let mut directory =
-        Directory::new(core.clone(), config.settings, config.names.clone(), clock, config.seed);
-    if let Some(known) = &config.known {
-        directory.take(known);
+    let mut known = Membership::default();
+    if let Some(list) = &config.known {
+        let _ = known.take(list);
     }
-    let (told, heard) = watch::channel(false);
-    let (ready, is_ready) = watch::channel(false);
+    let fleet = Fleet::new(core.clone(), config.settings.clone(), config.names.clone(), clock, known);
+    let directory = Directory::new(fleet.clone(), config.settings.routers, config.seed);
+    let (told, mut heard) = watch::channel(false);
     spawn_local(directory.follow(address, told));
-    let known = config.known.is_some();
+    let (known, noted) = (config.known.is_some(), shutdown.clone());
     spawn_local(async move {
-        let mut heard = heard;
         let in_time = tokio::time::timeout(DISCOVERY_WAIT, heard.wait_for(|told| *told)).await.is_ok();
         if !in_time && !known {
             let _ = heard.wait_for(|told| *told).await;
         }
         tracing::info!("ready, {}", if in_time { "with discovery's list" } else { "discovery is silent" });
-        ready.send_replace(true);
+        noted.note(Happening::CanServe);
     });
+    if let Some(place) = config.operator {
+        let listener = TcpListener::bind(place).await.map_err(|fault| StartError::Listen(place, fault))?;
+        spawn_local(operator::serve(listener, Operator::new(fleet, shutdown.clone())));
+        tracing::info!("operators call at {place}");
+    }
     let intake = Intake::new(config.intake, config.body_bytes);
-    let front = PlatformFront::new(core, config.names, intake.clone(), is_ready, shutdown.clone());
+    let front = PlatformFront::new(core, config.names, intake.clone(), shutdown.clone());
     spawn_local(serve(listener, None, intake, shutdown.clone(), move |_| front.clone()));
     tracing::info!("{} listens on {}", config.name, config.listen);
     Ok(())
--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -164,6 +164,10 @@
             let Ok(mut connection) = self.pool.connection(host).await else {
                 return ended(Outcome::Unreachable);
             };
+            // Since the decision, or while the connection was made, the instance may have begun to drain.
+            if self.pool.site(host).is_none_or(|site| !site.ready) {
+                return ended(Outcome::Full);
+            }
             let (body, mark) = connection.body(payload.body.clone());
             *written = Some(mark.clone());
             let mut request = Request::new(body);
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -9,8 +9,8 @@
 use serde::Deserialize;
 use serde_json::Value;
 
-use super::discovery::Targets;
 use super::front::spiffe::{Identities, Tls};
+use super::membership::Targets;
 use super::pool::PoolLimits;
 use crate::api::{Class, ClassId, Effect, Kind, Micros, Role, Settings};
 use crate::wire::{Names, settings_from};
@@ -35,6 +35,8 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operators call, where they do.
+    pub operator: Option<SocketAddr>,
     /// Where discovery answers.
     pub discovery: SocketAddr,
     /// For random numbers.
@@ -58,6 +60,7 @@
     name: String,
     listen: SocketAddr,
     discovery: SocketAddr,
+    operator: Option<SocketAddr>,
     seed: String,
     #[serde(default)]
     limits: Limits,
@@ -115,7 +118,15 @@
     pub fn read(path: &Path) -> Result<Self, ConfigError> {
         let shown = path.display().to_string();
         let text = std::fs::read(path).map_err(|e| ConfigError::Read(shown.clone(), e))?;
-        Self::parse(&text).map_err(|e| ConfigError::Form(shown, e))
+        let mut config = Self::parse(&text).map_err(|e| ConfigError::Form(shown, e))?;
+        if config.operator.is_none()
+            && let Some(place) = std::env::var_os("LB_OPERATOR").filter(|place| !place.is_empty())
+        {
+            let place = place.to_string_lossy();
+            let parsed = place.parse().map_err(|_| format!("\"{place}\" is not an address with a port"));
+            config.operator = Some(parsed.map_err(|e| ConfigError::Form("LB_OPERATOR".into(), e))?);
+        }
+        Ok(config)
     }
 
     /// Leaves so many sockets to another front of the same process: the limit counts for all of it.
@@ -136,6 +147,7 @@
             name: file.name,
             listen: file.listen,
             discovery: file.discovery,
+            operator: file.operator,
             seed,
             known: file.known,
             settings,
--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -79,6 +79,18 @@
     watches,
     /// Lists and changes heard from discovery.
     lists,
+    /// Instances taken out for maintenance by operators.
+    bans,
+    /// Instances back from maintenance.
+    bans_lifted,
+    /// Drains told by operators.
+    drains,
+    /// Operators' calls answered with yes.
+    calls,
+    /// Operators' calls answered with no.
+    calls_refused,
+    /// Callers at the operator's front that brought no whole call.
+    calls_unfinished,
     /// Replaced configurations taken in.
     reloads,
     /// Replaced configurations that could not be used.
--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -1,7 +1,7 @@
 //! Following discovery: the whole list first, then a watch on what changes.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -10,18 +10,14 @@
 use hyper::client::conn::http1;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use serde::Deserialize;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::backoff::Backoff;
 use super::counters::add;
-use super::pool::Site;
-use super::{Clock, Core};
-use crate::api::*;
-use crate::wire::Names;
+use super::fleet::Fleet;
+use super::membership::Targets;
 
 /// Silence after which a watch is given up: an empty line is due every 2 s. What it should have told counts as told
 /// 6 s later, so a new watch must be there well before.
@@ -37,34 +33,6 @@
 /// Longest line or list that is read.
 const MOST: usize = 4 * 1024 * 1024;
 
-/// A list of targets, whole or only its changes.
-#[derive(Clone, Debug, Deserialize)]
-pub struct Targets {
-    version: u64,
-    full: bool,
-    servers: Vec<Target>,
-}
-
-#[derive(Clone, Debug, Deserialize)]
-struct Target {
-    id: String,
-    addr: SocketAddr,
-    zone: String,
-    kind: String,
-    #[serde(default)]
-    cell: i64,
-    state: State,
-    #[serde(default)]
-    started_ms: i64,
-}
-
-#[derive(Clone, Copy, Debug, Deserialize)]
-enum State {
-    Ready,
-    Terminating,
-    Gone,
-}
-
 /// Why a watch ended.
 #[derive(Debug, thiserror::Error)]
 pub enum WatchError {
@@ -91,80 +59,25 @@
     Ended,
 }
 
-/// Takes lists in for a fleet: hosts to its planner, addresses to its pool.
+/// Follows discovery for a fleet.
 pub struct Directory {
-    core: Core,
-    settings: Settings,
-    names: Names,
-    clock: Clock,
-    ids: HashMap<String, HostId>,
+    fleet: Rc<Fleet>,
+    /// The version of the list at hand, while it is of the discovery now followed.
     version: Option<u64>,
     backoff: Backoff,
 }
 
 impl Directory {
-    /// An empty directory.
-    pub fn new(core: Core, settings: Settings, names: Names, clock: Clock, seed: u64) -> Self {
-        let (first, most) = (AGAIN_EACH.0 * settings.routers, AGAIN_EACH.1 * settings.routers);
+    /// A directory for this fleet, one of so many conductors.
+    pub fn new(fleet: Rc<Fleet>, conductors: u32, seed: u64) -> Self {
+        let (first, most) = (AGAIN_EACH.0 * conductors, AGAIN_EACH.1 * conductors);
         let backoff = Backoff::new(first.max(AGAIN.0), most.max(AGAIN.1), seed);
-        Directory { core, settings, names, clock, ids: HashMap::new(), version: None, backoff }
+        Directory { version: fleet.version(), fleet, backoff }
     }
 
-    /// The same number for the same id at every conductor, whatever its order among the rest.
-    fn host(&mut self, id: &str) -> HostId {
-        if let Some(&host) = self.ids.get(id) {
-            return host;
-        }
-        let numbers = (0..).map(|seed| HostId(xxh3_64_with_seed(id.as_bytes(), seed) as u32));
-        let free = numbers.into_iter().find(|n| !self.ids.values().any(|taken| taken == n));
-        let host = free.unwrap_or_default();
-        self.ids.insert(id.to_owned(), host);
-        host
-    }
-
-    /// Takes a list in at once: what drains or is gone must not wait.
-    pub fn take(&mut self, list: &Targets) {
-        add(&self.core.counters.lists);
+    fn take(&mut self, list: &Targets) {
         self.version = Some(list.version);
-        let mut members = Vec::new();
-        for target in &list.servers {
-            let host = self.host(&target.id);
-            let zone = self.names.zones.iter().position(|z| *z == target.zone);
-            let kind = self.names.kinds.iter().position(|k| *k == target.kind);
-            let (Some(zone), Some(kind)) = (zone, kind) else {
-                tracing::warn!("discovery: {} has an unknown zone or kind, passed over", target.id);
-                continue;
-            };
-            let phase = match target.state {
-                State::Ready => Phase::Serving,
-                State::Terminating => Phase::Draining,
-                State::Gone => Phase::Gone,
-            };
-            let (role, ready) = (self.settings.kinds[kind].role, phase == Phase::Serving);
-            let site = Site { addr: target.addr, role, ready };
-            if !list.full {
-                tracing::info!("discovery: {} is {:?}", target.id, target.state);
-            }
-            if phase == Phase::Gone {
-                self.ids.remove(&target.id);
-            }
-            self.core.upstream.pool().place(host, Some(site).filter(|_| phase != Phase::Gone));
-            members.push(Member {
-                host,
-                zone: ZoneId(zone),
-                cell: CellId(target.cell),
-                kind: KindId(kind),
-                phase,
-                started: self.clock.started(target.started_ms),
-            });
-        }
-        if list.full {
-            let pool = self.core.upstream.pool();
-            let named = |host: &HostId| members.iter().any(|m| m.host == *host);
-            pool.hosts().into_iter().filter(|h| !named(h)).for_each(|host| pool.place(host, None));
-            self.ids.retain(|_, host| named(host));
-        }
-        self.core.planner.hosts(list.full, members);
+        self.fleet.take(list);
     }
 
     /// Follows discovery for ever, wherever it is; `told` turns true with the first list. At a new address the whole
@@ -178,13 +91,13 @@
             }
             let begun = Instant::now();
             let addr = *address.borrow_and_update();
-            add(&self.core.counters.watches);
+            add(&self.fleet.core().counters.watches);
             let wait = tokio::select! {
                 ended = self.watch(addr, &told) => {
                     let ended = ended.err().unwrap_or(WatchError::Ended);
                     let wait = self.backoff.after(begun.elapsed());
                     tracing::warn!("discovery: watch lost, {ended}; trying again in {} ms", wait.as_millis());
-                    self.core.planner.hosts_failed();
+                    self.fleet.core().planner.hosts_failed();
                     wait
                 }
                 Ok(()) = address.changed() => {
--- /dev/null
+++ b/src/node/fleet.rs
@@ -0,0 +1,154 @@
+//! A fleet as its list and the operators have it, told to its planner and its pool alike.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::counters::add;
+use super::membership::{Membership, State, Target, Targets, UnknownId};
+use super::pool::Site;
+use super::{Clock, Core};
+use crate::api::*;
+use crate::wire::Names;
+
+/// Keeps who may be sent work, and tells planner and pool of each change at once.
+pub struct Fleet {
+    core: Core,
+    settings: Settings,
+    names: Names,
+    clock: Clock,
+    membership: RefCell<Membership>,
+    ids: RefCell<HashMap<String, HostId>>,
+}
+
+impl Fleet {
+    /// A fleet of which this much is known.
+    pub fn new(core: Core, settings: Settings, names: Names, clock: Clock, known: Membership) -> Rc<Self> {
+        let fleet = Fleet {
+            core,
+            settings,
+            names,
+            clock,
+            membership: RefCell::new(known),
+            ids: RefCell::new(HashMap::new()),
+        };
+        let all = fleet.membership.borrow().all();
+        if !all.is_empty() {
+            fleet.tell(true, &all);
+        }
+        Rc::new(fleet)
+    }
+
+    /// The version of the last list taken in.
+    pub fn version(&self) -> Option<u64> {
+        self.membership.borrow().version()
+    }
+
+    /// All that is known, to be handed over.
+    pub fn membership(&self) -> Membership {
+        self.membership.borrow().clone()
+    }
+
+    /// Its planner and instances.
+    pub fn core(&self) -> &Core {
+        &self.core
+    }
+
+    /// Takes a list in at once: what drains or is gone must not wait.
+    pub fn take(&self, list: &Targets) {
+        add(&self.core.counters.lists);
+        if !list.full {
+            let lines = list.servers.iter();
+            lines.for_each(|t| tracing::info!("discovery: {} is {:?}", t.id, t.state));
+        }
+        let seen = self.membership.borrow_mut().take(list);
+        self.tell(list.full, &seen);
+    }
+
+    /// Nothing more to this instance, until it is lifted. Once this returns no attempt begins there.
+    pub async fn ban(&self, id: &str) -> Result<(), UnknownId> {
+        let changed = self.membership.borrow_mut().ban(id, self.clock.unix_ms())?;
+        if let Some(target) = changed {
+            add(&self.core.counters.bans);
+            tracing::info!("operator: {id} is out for maintenance");
+            self.tell(false, std::slice::from_ref(&target));
+            self.forget_connections(id);
+        }
+        self.core.planner.settled().await;
+        Ok(())
+    }
+
+    /// The instance may serve again; it is taken to have started just now.
+    pub async fn lift(&self, id: &str) -> Result<(), UnknownId> {
+        let changed = self.membership.borrow_mut().lift(id, self.clock.unix_ms())?;
+        if let Some(target) = changed {
+            add(&self.core.counters.bans_lifted);
+            tracing::info!("operator: {id} is back from maintenance, cold");
+            self.forget_connections(id);
+            self.tell(false, std::slice::from_ref(&target));
+        }
+        self.core.planner.settled().await;
+        Ok(())
+    }
+
+    /// What stood idle there was opened to the process before its restart.
+    fn forget_connections(&self, id: &str) {
+        if let Some(&host) = self.ids.borrow().get(id) {
+            self.core.upstream.pool().distrust(host);
+        }
+    }
+
+    /// The same number for the same id at every conductor, whatever its order among the rest.
+    fn host(&self, id: &str) -> HostId {
+        let mut ids = self.ids.borrow_mut();
+        if let Some(&host) = ids.get(id) {
+            return host;
+        }
+        let numbers = (0..).map(|seed| HostId(xxh3_64_with_seed(id.as_bytes(), seed) as u32));
+        let free = numbers.into_iter().find(|n| !ids.values().any(|taken| taken == n));
+        let host = free.unwrap_or_default();
+        ids.insert(id.to_owned(), host);
+        host
+    }
+
+    fn tell(&self, whole: bool, targets: &[Target]) {
+        let pool = self.core.upstream.pool();
+        let mut members = Vec::new();
+        for target in targets {
+            let host = self.host(&target.id);
+            let zone = self.names.zones.iter().position(|z| *z == target.zone);
+            let kind = self.names.kinds.iter().position(|k| *k == target.kind);
+            let (Some(zone), Some(kind)) = (zone, kind) else {
+                tracing::warn!("discovery: {} has an unknown zone or kind, passed over", target.id);
+                continue;
+            };
+            let phase = match target.state {
+                State::Ready => Phase::Serving,
+                State::Terminating => Phase::Draining,
+                State::Gone => Phase::Gone,
+            };
+            let (role, ready) = (self.settings.kinds[kind].role, phase == Phase::Serving);
+            let site = Site { addr: target.addr, role, ready };
+            if phase == Phase::Gone {
+                self.ids.borrow_mut().remove(&target.id);
+            }
+            pool.place(host, Some(site).filter(|_| phase != Phase::Gone));
+            members.push(Member {
+                host,
+                zone: ZoneId(zone),
+                cell: CellId(target.cell),
+                kind: KindId(kind),
+                phase,
+                started: self.clock.started(target.started_ms),
+            });
+        }
+        if whole {
+            let named = |host: &HostId| members.iter().any(|m| m.host == *host);
+            pool.hosts().into_iter().filter(|h| !named(h)).for_each(|host| pool.place(host, None));
+            self.ids.borrow_mut().retain(|_, host| named(host));
+        }
+        self.core.planner.hosts(whole, members);
+    }
+}
--- a/src/node/front/chat.rs
+++ b/src/node/front/chat.rs
@@ -187,7 +187,7 @@
             }
             fault.reply()
         });
-        if self.shutdown.ending() || self.intake.crowded() {
+        if self.shutdown.readiness().lets_go() || self.intake.crowded() {
             reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         reply
--- a/src/node/front/mod.rs
+++ b/src/node/front/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod chat;
 pub mod intake;
+pub mod operator;
 pub mod platform;
 pub mod spiffe;
 
@@ -28,6 +29,7 @@
 
 use super::Core;
 use super::attempt::Payload;
+use super::readiness::Readiness;
 use super::relay::{Piece, StreamBroken};
 use super::request::{Answer, Caller, live};
 use super::shutdown::{Pending, STILL_ARRIVING, Shutdown};
@@ -186,7 +188,7 @@
     // Its own box: what is left of the connection is let go of before the last bytes are read past.
     let mut served = Box::pin(served);
     let ending = async {
-        shutdown.begun().await;
+        shutdown.once(Readiness::lets_go).await;
         // Guards the requests that still arrive: the library closes a connection that has brought nothing
         // yet at once, and the client's request with it.
         let _ = timeout(STILL_ARRIVING, first.wait_for(|used| *used)).await;
--- /dev/null
+++ b/src/node/front/operator.rs
@@ -0,0 +1,248 @@
+//! The operator's front: maintenance of instances, drains, and whether this process serves. One call a connection.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{ALLOW, CONNECTION, CONTENT_TYPE, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+use crate::node::counters::add;
+use crate::node::fleet::Fleet;
+use crate::node::membership::UnknownId;
+use crate::node::readiness::Happening;
+use crate::node::shutdown::Shutdown;
+
+/// Callers served at once. Their descriptors are kept free in the configuration's budgets.
+pub const SLOTS: usize = 12;
+/// For a caller to bring a whole head.
+const HEAD_TIME: Duration = Duration::from_millis(1_500);
+/// Longest head read.
+const HEAD_MOST: usize = 8 * 1024;
+/// How long, and how much of, what nobody asked for is read behind an answer: closed over unread bytes the connection
+/// would be reset and the answer lost.
+const LINGER: (Duration, usize) = (Duration::from_millis(500), 64 * 1024);
+/// Longest id of an instance.
+const ID_MOST: usize = 128;
+
+/// Why a call is answered with no.
+#[derive(Debug, thiserror::Error)]
+enum No {
+    #[error("no such path")]
+    Path,
+    #[error("this path takes {0}")]
+    Method(&'static str),
+    #[error("an instance's id has 1 to {ID_MOST} letters, digits and -_.~")]
+    Id,
+    #[error("{0}")]
+    Unknown(#[from] UnknownId),
+    #[error("cannot serve: {0}")]
+    NotServing(&'static str),
+}
+
+impl No {
+    fn status(&self) -> StatusCode {
+        match self {
+            No::Path | No::Unknown(_) => StatusCode::NOT_FOUND,
+            No::Method(_) => StatusCode::METHOD_NOT_ALLOWED,
+            No::Id => StatusCode::BAD_REQUEST,
+            No::NotServing(_) => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+}
+
+type Reply = Response<Full<Bytes>>;
+
+/// What operators may do, and to what.
+#[derive(Clone)]
+pub struct Operator {
+    fleet: Rc<Fleet>,
+    shutdown: Shutdown,
+}
+
+impl Operator {
+    /// A front for this fleet and process.
+    pub fn new(fleet: Rc<Fleet>, shutdown: Shutdown) -> Self {
+        Operator { fleet, shutdown }
+    }
+
+    async fn handle(&self, method: &Method, path: &str) -> Result<String, No> {
+        let must = |wanted: Method, named| (*method == wanted).then_some(()).ok_or(No::Method(named));
+        let readiness = self.shutdown.readiness();
+        match path.split('/').skip(1).collect::<Vec<_>>()[..] {
+            ["healthcheck"] => {
+                must(Method::GET, "GET")?;
+                let stage = readiness.stage().name();
+                readiness.healthy().then(|| format!("{stage}\n")).ok_or(No::NotServing(stage))
+            }
+            ["healthcheck", told @ ("fail" | "ok")] => {
+                must(Method::POST, "POST")?;
+                if told == "fail" {
+                    add(&self.fleet.core().counters.drains);
+                    self.shutdown.note(Happening::Drain);
+                } else {
+                    self.shutdown.note(Happening::Undrain);
+                }
+                Ok(format!("{}\n", self.shutdown.readiness().stage().name()))
+            }
+            ["instances", id, told @ ("maint" | "ready")] => {
+                must(Method::POST, "POST")?;
+                let fits = |c: char| c.is_ascii_alphanumeric() || "-_.~".contains(c);
+                if id.is_empty() || id.len() > ID_MOST || !id.chars().all(fits) {
+                    return Err(No::Id);
+                }
+                if told == "maint" {
+                    self.fleet.ban(id).await?;
+                } else {
+                    self.fleet.lift(id).await?;
+                }
+                Ok(format!("{id} is {}\n", if told == "maint" { "out for maintenance" } else { "back" }))
+            }
+            ["status"] => {
+                must(Method::GET, "GET")?;
+                let membership = self.fleet.membership();
+                let instances = membership.all().into_iter();
+                let instances: BTreeMap<_, _> = instances.map(|t| (t.id, format!("{:?}", t.state))).collect();
+                let status = json!({
+                    "stage": readiness.stage().name(),
+                    "drained": readiness.drained(),
+                    "maintenance": membership.bans(),
+                    "instances": instances,
+                });
+                Ok(format!("{status:#}\n"))
+            }
+            _ => Err(No::Path),
+        }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Reply {
+        let (status, text, allow) = match self.handle(request.method(), request.uri().path()).await {
+            Ok(text) => (StatusCode::OK, text, None),
+            Err(no) => {
+                let allow = if let No::Method(named) = no { Some(named) } else { None };
+                (no.status(), format!("{no}\n"), allow)
+            }
+        };
+        let counters = &self.fleet.core().counters;
+        add(if status == StatusCode::OK { &counters.calls } else { &counters.calls_refused });
+        let mut reply = Response::new(Full::new(text.into()));
+        *reply.status_mut() = status;
+        let headers = reply.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        allow.map(|named| headers.insert(ALLOW, HeaderValue::from_static(named)));
+        reply
+    }
+}
+
+/// A caller that holds a slot.
+#[derive(Default)]
+struct Caller {
+    /// Its call has come whole.
+    called: Cell<bool>,
+    makes_room: Notify,
+}
+
+/// The slots. Callers that have brought no whole call make room for others, the one that waited longest first.
+#[derive(Default)]
+struct Slots {
+    callers: RefCell<BTreeMap<u64, Rc<Caller>>>,
+    next: Cell<u64>,
+    left: Notify,
+}
+
+impl Slots {
+    fn enter(&self) -> (u64, Rc<Caller>) {
+        let (number, caller) = (self.next.get(), Rc::new(Caller::default()));
+        self.next.set(number + 1);
+        self.callers.borrow_mut().insert(number, caller.clone());
+        (number, caller)
+    }
+
+    fn leave(&self, number: u64) {
+        self.callers.borrow_mut().remove(&number);
+        self.left.notify_one();
+    }
+
+    /// Waits until there is a slot.
+    async fn vacancy(&self) {
+        while self.callers.borrow().len() >= SLOTS {
+            let waiting = self.callers.borrow().values().find(|c| !c.called.get()).cloned();
+            if let Some(caller) = waiting {
+                caller.makes_room.notify_one();
+            }
+            self.left.notified().await;
+        }
+    }
+}
+
+/// Serves operators until the process has ended.
+pub async fn serve(listener: TcpListener, operator: Operator) {
+    let slots = Rc::new(Slots::default());
+    loop {
+        let socket = match listener.accept().await {
+            Ok((socket, _)) => socket,
+            Err(fault) => {
+                tracing::warn!("operator: cannot accept a call: {fault}");
+                sleep(Duration::from_millis(20)).await;
+                continue;
+            }
+        };
+        slots.vacancy().await;
+        let (number, caller) = slots.enter();
+        let (slots, operator) = (slots.clone(), operator.clone());
+        spawn_local(async move {
+            tokio::select! {
+                biased;
+                () = call(socket, &operator, &caller) => {}
+                () = caller.makes_room.notified() => {}
+            }
+            if !caller.called.get() {
+                add(&operator.fleet.core().counters.calls_unfinished);
+            }
+            slots.leave(number);
+        });
+    }
+}
+
+async fn call(socket: TcpStream, operator: &Operator, caller: &Caller) {
+    let _ = socket.set_nodelay(true);
+    let service = hyper::service::service_fn(|request| async move {
+        caller.called.set(true);
+        Ok::<_, Infallible>(operator.answer(request).await)
+    });
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIME)
+        .max_buf_size(HEAD_MOST)
+        .keep_alive(false)
+        .serve_connection(TokioIo::new(socket), service)
+        .without_shutdown();
+    // A call that ended in a fault of its own has its answer already, or is owed none.
+    let Ok(parts) = served.await else { return };
+    let mut socket = parts.io.into_inner();
+    let _ = socket.shutdown().await;
+    let past = async {
+        let (mut scratch, mut seen) = ([0; 1024], 0);
+        while let Ok(n @ 1..) = socket.read(&mut scratch).await {
+            seen += n;
+            if seen > LINGER.1 {
+                break;
+            }
+        }
+    };
+    let _ = timeout(LINGER.0, past).await;
+}
--- a/src/node/front/platform.rs
+++ b/src/node/front/platform.rs
@@ -13,7 +13,6 @@
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
 use hyper::{Method, Request, Response, StatusCode};
-use tokio::sync::watch;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::intake::{Arrival, BodyError, Intake, read_body};
@@ -115,17 +114,14 @@
     core: Core,
     names: Rc<Names>,
     intake: Rc<Intake>,
-    ready: watch::Receiver<bool>,
     shutdown: Shutdown,
     ids: Rc<RefCell<Ids>>,
 }
 
 impl PlatformFront {
-    /// A front before this core; it says that it is ready once `ready` is true.
-    pub fn new(
-        core: Core, names: Names, intake: Rc<Intake>, ready: watch::Receiver<bool>, shutdown: Shutdown,
-    ) -> Self {
-        PlatformFront { core, names: Rc::new(names), intake, ready, shutdown, ids: Rc::default() }
+    /// A front before this core.
+    pub fn new(core: Core, names: Names, intake: Rc<Intake>, shutdown: Shutdown) -> Self {
+        PlatformFront { core, names: Rc::new(names), intake, shutdown, ids: Rc::default() }
     }
 
     async fn handle(self, request: Request<Incoming>) -> Reply {
@@ -138,9 +134,13 @@
                     plain(fault.status(), format!("{fault}\n"))
                 }
             },
-            (&Method::GET, "/-/ready") if *self.ready.borrow() => plain(StatusCode::OK, "ready\n"),
+            (&Method::GET, "/-/ready") if self.shutdown.readiness().ready() => {
+                plain(StatusCode::OK, "ready\n")
+            }
             (&Method::GET, "/-/ready") => {
-                plain(StatusCode::SERVICE_UNAVAILABLE, "no list of instances yet\n")
+                let drained = self.shutdown.readiness().drained();
+                let why = if drained { "drained by operators\n" } else { "no list of instances yet\n" };
+                plain(StatusCode::SERVICE_UNAVAILABLE, why)
             }
             (&Method::GET, "/-/counters") => plain(StatusCode::OK, self.core.counters.line() + "\n"),
             (_, "/-/ready" | "/-/counters") => {
@@ -148,7 +148,7 @@
             }
             _ => plain(StatusCode::NOT_FOUND, format!("{}\n", Malformed::Path)),
         };
-        if self.shutdown.ending() || self.intake.crowded() {
+        if self.shutdown.readiness().lets_go() || self.intake.crowded() {
             reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         reply
--- /dev/null
+++ b/src/node/membership.rs
@@ -0,0 +1,254 @@
+//! Who may be sent work: operators' bans laid over discovery's list. It does no I/O and reads no clock.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+/// Bans and returns remembered of ids that discovery does not name at present, of each the latest so many.
+const UNLISTED_MOST: usize = 256;
+
+/// A list of targets, whole or only its changes, in discovery's form.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Targets {
+    /// Number of the list.
+    pub version: u64,
+    /// Ids not named are gone.
+    pub full: bool,
+    /// The entries.
+    pub servers: Vec<Target>,
+}
+
+/// An instance, as discovery tells of it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Target {
+    /// Its id, the same everywhere.
+    pub id: String,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Its zone.
+    pub zone: String,
+    /// Its kind.
+    pub kind: String,
+    /// Its cell.
+    #[serde(default)]
+    pub cell: i64,
+    /// Whether it may be sent work.
+    pub state: State,
+    /// Unix time of its last start in milliseconds; 0 for long ago.
+    #[serde(default)]
+    pub started_ms: i64,
+}
+
+/// Whether an instance may be sent work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum State {
+    /// It serves.
+    Ready,
+    /// It finishes what it has.
+    Terminating,
+    /// It is gone.
+    Gone,
+}
+
+/// No instance has this id.
+#[derive(Debug, PartialEq, Eq, thiserror::Error)]
+#[error("no instance has the id \"{0}\"")]
+pub struct UnknownId(pub String);
+
+/// What a conductor knows of its instances beyond what it has learnt: a part of what it hands over.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Membership {
+    version: Option<u64>,
+    listed: BTreeMap<String, Target>,
+    /// When each ban began, in Unix milliseconds.
+    bans: BTreeMap<String, i64>,
+    /// When the last ban of an instance ended: it was restarted meanwhile.
+    returns: BTreeMap<String, i64>,
+}
+
+impl Membership {
+    /// The version of the last list taken in.
+    pub fn version(&self) -> Option<u64> {
+        self.version
+    }
+
+    /// Takes a list in; gives it back as it holds with the bans laid over it.
+    pub fn take(&mut self, list: &Targets) -> Vec<Target> {
+        self.version = Some(list.version);
+        if list.full {
+            self.listed.clear();
+        }
+        for target in &list.servers {
+            match target.state {
+                State::Gone => drop(self.listed.remove(&target.id)),
+                _ => drop(self.listed.insert(target.id.clone(), target.clone())),
+            }
+        }
+        forget_oldest(&mut self.bans, &self.listed);
+        forget_oldest(&mut self.returns, &self.listed);
+        list.servers.iter().map(|target| self.overlaid(target)).collect()
+    }
+
+    /// The whole list as it holds.
+    pub fn all(&self) -> Vec<Target> {
+        self.listed.values().map(|target| self.overlaid(target)).collect()
+    }
+
+    /// Nothing more to this instance. Its new view, where there is one that differs.
+    pub fn ban(&mut self, id: &str, now_ms: i64) -> Result<Option<Target>, UnknownId> {
+        if self.bans.contains_key(id) {
+            return Ok(None);
+        }
+        let target = self.listed.get(id).ok_or_else(|| UnknownId(id.into()))?;
+        self.bans.insert(id.into(), now_ms);
+        Ok(Some(self.overlaid(target)))
+    }
+
+    /// The instance may serve again, however often it was banned. Its new view, where there is one that differs.
+    pub fn lift(&mut self, id: &str, now_ms: i64) -> Result<Option<Target>, UnknownId> {
+        let listed = self.listed.get(id);
+        if self.bans.remove(id).is_none() {
+            return listed.map(|_| None).ok_or_else(|| UnknownId(id.into()));
+        }
+        self.returns.insert(id.into(), now_ms);
+        Ok(listed.map(|target| self.overlaid(target)))
+    }
+
+    /// The banned ids, each with the time of its ban.
+    pub fn bans(&self) -> &BTreeMap<String, i64> {
+        &self.bans
+    }
+
+    /// A banned instance drains, whatever discovery says; one that is back started when its ban ended, or later.
+    fn overlaid(&self, target: &Target) -> Target {
+        let mut target = target.clone();
+        if target.state == State::Ready && self.bans.contains_key(&target.id) {
+            target.state = State::Terminating;
+        }
+        target.started_ms = target.started_ms.max(self.returns.get(&target.id).copied().unwrap_or(0));
+        target
+    }
+}
+
+/// A long service brings ever new ids; an id that discovery drops may come back, but seldom after very many others.
+fn forget_oldest(times: &mut BTreeMap<String, i64>, listed: &BTreeMap<String, Target>) {
+    let unlisted = times.iter().filter(|(id, _)| !listed.contains_key(*id));
+    let mut unlisted: Vec<_> = unlisted.map(|(id, &at)| (at, id.clone())).collect();
+    unlisted.sort();
+    let over = unlisted.len().saturating_sub(UNLISTED_MOST);
+    unlisted.into_iter().take(over).for_each(|(_, id)| times.retain(|kept, _| *kept != id));
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn target(id: &str, state: State, started_ms: i64) -> Target {
+        let (addr, zone, kind) = (SocketAddr::from(([127, 0, 0, 1], 9)), "z".into(), "k".into());
+        Target { id: id.into(), addr, zone, kind, cell: 1, state, started_ms }
+    }
+
+    fn list(version: u64, full: bool, servers: Vec<Target>) -> Targets {
+        Targets { version, full, servers }
+    }
+
+    fn known(ids: &[&str]) -> Membership {
+        let mut membership = Membership::default();
+        membership.take(&list(1, true, ids.iter().map(|id| target(id, State::Ready, 0)).collect()));
+        membership
+    }
+
+    #[test]
+    fn a_ban_holds_whatever_discovery_says() {
+        let mut m = known(&["a", "b"]);
+        assert_eq!(m.ban("a", 10).unwrap().unwrap().state, State::Terminating);
+        let again = m.take(&list(2, false, vec![target("a", State::Ready, 5)]));
+        assert_eq!(again[0].state, State::Terminating);
+        let gone = m.take(&list(3, false, vec![target("a", State::Gone, 0)]));
+        assert_eq!(gone[0].state, State::Gone);
+        let whole = m.take(&list(4, true, vec![target("a", State::Ready, 7), target("b", State::Ready, 0)]));
+        assert_eq!([whole[0].state, whole[1].state], [State::Terminating, State::Ready]);
+    }
+
+    #[test]
+    fn two_calls_out_need_one_call_back() {
+        let mut m = known(&["a"]);
+        assert!(m.ban("a", 10).unwrap().is_some() && m.ban("a", 11).unwrap().is_none());
+        let back = m.lift("a", 20).unwrap().unwrap();
+        assert_eq!((back.state, back.started_ms), (State::Ready, 20));
+        assert!(m.lift("a", 30).unwrap().is_none());
+        assert_eq!(m.all()[0].started_ms, 20, "a second call back is no second return");
+    }
+
+    #[test]
+    fn a_returned_instance_is_cold_until_discovery_tells_a_later_start() {
+        let mut m = known(&["a"]);
+        let _ = (m.ban("a", 10), m.lift("a", 20));
+        assert_eq!(m.take(&list(2, false, vec![target("a", State::Ready, 15)]))[0].started_ms, 20);
+        assert_eq!(m.take(&list(3, false, vec![target("a", State::Ready, 25)]))[0].started_ms, 25);
+    }
+
+    #[test]
+    fn ids_no_one_has_are_unknown() {
+        let mut m = known(&["a"]);
+        assert!(m.ban("x", 1).is_err() && m.lift("x", 1).is_err());
+        let _ = m.ban("a", 1);
+        m.take(&list(2, true, vec![]));
+        assert!(m.ban("a", 2).is_ok(), "a banned id stays known while its instance is away");
+        assert!(m.lift("a", 3).unwrap().is_none());
+        assert!(m.ban("a", 4).is_err());
+    }
+
+    #[test]
+    fn what_drains_anyway_goes_on_draining_after_a_ban() {
+        let mut m = known(&["a"]);
+        let _ = m.ban("a", 1);
+        m.take(&list(2, false, vec![target("a", State::Terminating, 0)]));
+        assert_eq!(m.lift("a", 2).unwrap().unwrap().state, State::Terminating);
+    }
+
+    /// Over random orders of calls and lists: banned is never ready, all else is as discovery says, and what is
+    /// kept stays bounded and survives being handed over.
+    #[test]
+    fn random_orders_keep_bans_and_bounds() {
+        let mut draw = 7u64;
+        let mut roll = |n: u64| {
+            draw = draw.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+            (draw >> 33) % n
+        };
+        let mut m = Membership::default();
+        let (mut banned, mut listed) = (std::collections::BTreeSet::new(), BTreeMap::new());
+        for now in 0..6_000 {
+            let id = format!("i{}", roll(900));
+            match roll(5) {
+                0 => {
+                    let known = listed.contains_key(&id) || banned.contains(&id);
+                    assert_eq!(m.ban(&id, now).is_ok(), known);
+                    let _ = known && banned.insert(id);
+                }
+                1 => assert_eq!(m.lift(&id, now).is_ok(), banned.remove(&id) || listed.contains_key(&id)),
+                2 => {
+                    m.take(&list(now as u64, false, vec![target(&id, State::Gone, 0)]));
+                    listed.remove(&id);
+                }
+                3 => m = serde_json::from_str(&serde_json::to_string(&m).unwrap()).unwrap(),
+                _ => {
+                    let state = if roll(4) == 0 { State::Terminating } else { State::Ready };
+                    m.take(&list(now as u64, false, vec![target(&id, state, 0)]));
+                    listed.insert(id, state);
+                }
+            }
+            // What was forgotten to stay bounded was away for long.
+            let away = |id: &String| !listed.contains_key(id);
+            banned.retain(|id| m.bans().contains_key(id) || !away(id));
+            let unlisted = |times: &BTreeMap<String, i64>| times.keys().filter(|id| away(id)).count();
+            assert!(unlisted(&m.bans) <= UNLISTED_MOST + 1 && unlisted(&m.returns) <= UNLISTED_MOST + 1);
+            for seen in m.all().into_iter().filter(|_| now % 16 == 0) {
+                let expected = if banned.contains(&seen.id) { State::Terminating } else { listed[&seen.id] };
+                assert_eq!(seen.state, expected);
+            }
+        }
+    }
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -10,9 +10,12 @@
 pub mod counters;
 pub mod discovery;
 pub mod events;
+pub mod fleet;
 pub mod front;
+pub mod membership;
 pub mod planner;
 pub mod pool;
+pub mod readiness;
 pub mod relay;
 pub mod release;
 pub mod reload;
@@ -45,6 +48,11 @@
         self.base + self.start.elapsed().as_micros() as Micros
     }
 
+    /// Unix time in milliseconds.
+    pub fn unix_ms(&self) -> i64 {
+        self.now() / 1_000
+    }
+
     /// A Unix time in milliseconds on the module's clock; none for 0, which means long ago.
     pub fn started(&self, unix_ms: i64) -> Option<Micros> {
         (unix_ms > 0).then(|| unix_ms.saturating_mul(1_000))
--- a/src/node/planner.rs
+++ b/src/node/planner.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
+use tokio::sync::oneshot;
 
 use super::{Clock, span};
 use crate::api::*;
@@ -42,6 +43,7 @@
     Arrive(NewRequest, UnboundedSender<Order>),
     Tell(Event),
     Closed(RequestId),
+    Mark(oneshot::Sender<()>),
 }
 
 /// The forwarders' way to a planner.
@@ -92,6 +94,13 @@
         self.put(Input::Tell(Event::Probed { host, outcome, load }));
     }
 
+    /// Waits until all that was told before is decided on.
+    pub async fn settled(&self) {
+        let (mark, reached) = oneshot::channel();
+        self.put(Input::Mark(mark));
+        let _ = reached.await;
+    }
+
     fn put(&self, input: Input) {
         // A planner lives as long as the process; the send fails only while that ends.
         let _ = self.inputs.send(input);
@@ -161,6 +170,7 @@
         while inbox.recv_many(&mut inputs, 256).await > 0 {
             let mut parted = Vec::new();
             let mut closed = Vec::new();
+            let mut marks = Vec::new();
             for input in inputs.drain(..) {
                 match input {
                     Input::Arrive(ask, seat) => {
@@ -174,6 +184,7 @@
                         events.push(event);
                     }
                     Input::Closed(id) => closed.push(id),
+                    Input::Mark(mark) => marks.push(mark),
                 }
             }
             self.router.handle(self.clock.now(), &events, &mut actions);
@@ -190,6 +201,7 @@
             }
             parted.into_iter().for_each(|id| self.order(id, Order::Parted));
             closed.iter().for_each(|id| drop(self.seats.remove(id)));
+            marks.into_iter().for_each(|mark| mark.send(()).unwrap_or_default());
         }
     }
 
--- a/src/node/pool.rs
+++ b/src/node/pool.rs
@@ -299,7 +299,8 @@
         let Some(shelf) = shelves.get_mut(&host) else { return };
         let now = Instant::now();
         shelf.heard = Some(now);
-        if !connection.sender.is_closed() && shelf.site.is_some() && shelf.idle.len() < IDLE_MOST {
+        let ready = shelf.site.as_ref().is_some_and(|site| site.ready);
+        if !connection.sender.is_closed() && ready && shelf.idle.len() < IDLE_MOST {
             connection.since = now;
             shelf.idle.push(connection);
         }
--- a/src/node/shutdown.rs
+++ b/src/node/shutdown.rs
@@ -7,13 +7,15 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 
+use super::readiness::{Happening, Readiness};
+
 /// For so long after SIGTERM clients may still open connections.
 pub const STILL_ARRIVING: Duration = Duration::from_millis(1_000);
 
-/// Tells whether the process is ending, and counts what must be finished first.
+/// Holds where the process stands, and counts what must be finished before it ends.
 #[derive(Clone)]
 pub struct Shutdown {
-    ending: watch::Sender<bool>,
+    readiness: watch::Sender<Readiness>,
     open: Rc<Open>,
 }
 
@@ -37,19 +39,31 @@
 
 impl Default for Shutdown {
     fn default() -> Self {
-        Shutdown { ending: watch::Sender::new(false), open: Rc::default() }
+        Shutdown { readiness: watch::Sender::new(Readiness::default()), open: Rc::default() }
     }
 }
 
 impl Shutdown {
-    /// Whether the process is ending.
-    pub fn ending(&self) -> bool {
-        *self.ending.borrow()
+    /// Where the process stands.
+    pub fn readiness(&self) -> Readiness {
+        *self.readiness.borrow()
+    }
+
+    /// Takes in what happened to the process as a whole.
+    pub fn note(&self, happening: Happening) {
+        self.readiness.send_if_modified(|now| {
+            let after = now.after(happening);
+            let moved = (now.stage(), after.stage());
+            if moved.0 != moved.1 {
+                tracing::info!("readiness: {}, was {}", moved.1.name(), moved.0.name());
+            }
+            std::mem::replace(now, after) != after
+        });
     }
 
-    /// Waits until the process is ending.
-    pub async fn begun(&self) {
-        let _ = self.ending.subscribe().wait_for(|ending| *ending).await;
+    /// Waits until this holds of where the process stands.
+    pub async fn once(&self, holds: impl Fn(Readiness) -> bool) {
+        let _ = self.readiness.subscribe().wait_for(|now| holds(*now)).await;
     }
 
     /// Marks something as unfinished until the result is dropped.
@@ -66,7 +80,7 @@
             _ = int.recv() => {}
         }
         tracing::info!("shutdown: begun, {} connections and requests open", self.open.count.get());
-        self.ending.send_replace(true);
+        self.note(Happening::End);
         tokio::time::sleep(STILL_ARRIVING).await;
         loop {
             let none = self.open.none.notified();
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -29,6 +29,9 @@
     intake
     left_while_reading
     left_while_streaming
+    maintenance
+    operator_calls
+    operator_drain
     probe
     read_lost
     reload
--- a/tests/player/mod.rs
+++ b/tests/player/mod.rs
@@ -248,6 +248,11 @@
     )
 }
 
+/// The port where clients of a front connect.
+fn port_of(front: &str) -> u32 {
+    if front == "platform" { 8_081 } else { 8_090 }
+}
+
 /// The port of an actor.
 pub fn port(name: &str) -> u32 {
     name.bytes().fold(9_000, |sum, b| sum + u32::from(b))
@@ -328,8 +333,14 @@
     let list = list.collect::<Vec<_>>().join(",");
     let told = if scripted { channel().0 } else { discovery(&base, list) };
     // The same platform where instances may be probed, or a conductor that comes back with an old list.
+    let head_front = front;
     let (front, changed) = match front {
         "probing" => ("platform", Some(("\"mayProbe\": false", "\"mayProbe\": true".into()))),
+        // The same platform with an operator's front; its callers' names begin with `o` or `s`.
+        "operated" => {
+            let operator = format!("\"operator\":\"{base}:8082\",\"settings\"");
+            ("platform", Some(("\"settings\"", operator)))
+        }
         "returning" => {
             let known = names.iter().filter(|n| **n != "d").map(|n| target(&base, n, "Ready"));
             let known = known.collect::<Vec<_>>().join(",");
@@ -380,7 +391,8 @@
                 match verb {
                     "sends" => {
                         if actor.lines.is_empty() {
-                            let port = if front == "platform" { 8081 } else { 8090 };
+                            let operated = head_front == "operated" && name.starts_with(['o', 's']);
+                            let port = if operated { 8082 } else { port_of(front) };
                             actor.open(TcpStream::connect(format!("{base}:{port}")).expect("it listens"));
                         }
                         actor.send(&bytes_of(&lines));
