--- a/src/logic.rs
+++ b/src/logic.rs
@@ -565,10 +565,8 @@
         &self, now: Micros, r: &Request, reader: Option<&Host>, ready_in: f64, tested: bool,
         wanted: impl Fn(&Host) -> bool,
     ) -> Option<HostId> {
-        let place = |h: &Host, from: &Host| match (from.cell == h.cell, from.zone == h.zone) {
-            (true, _) => 1.0,
-            (_, near) => h.spare * if near { 1.0 } else { FAR_WEIGHT },
-        };
+        let near = |h: &Host, from: &Host| if from.zone == h.zone { 1.0 } else { FAR_WEIGHT };
+        let place = |h: &Host, from: &Host| if from.cell == h.cell { 1.0 } else { h.spare * near(h, from) };
         let takes = |h: &Host| h.takes(now, &r.ask, &self.set.rules) && self.may_run_at(now, r, h.id);
         let once = self.set.classes[r.ask.class.0].effect == Effect::Unsafe;
         let fits = |h: &&Host| h.role != Role::Read && takes(h) && wanted(h);
@@ -589,8 +587,8 @@
 
     /// Tokens of a prompt that this router knows to be kept at a host.
     fn known_at(host: &Host, r: &Request) -> f64 {
-        let at = |key: Option<TextKey>| key.and_then(|k| host.kept.get(&k)).copied().unwrap_or(0.0);
-        let kept = |key, most: f64| at(key).min(most);
+        let kept =
+            |key: Option<TextKey>, most| key.and_then(|k| host.kept.get(&k)).map_or(0.0, |n| n.min(most));
         kept(r.ask.prefix, r.ask.prefix_tokens).max(kept(r.ask.session, r.ask.prompt_tokens))
     }
 
@@ -620,11 +618,12 @@
         for id in ready.collect::<Vec<_>>() {
             let r = &self.requests[&id];
             let held_for = (now - r.ready_since) as f64 / self.set.rules.pin_limit.max(1) as f64;
-            let spent = r.sent >= self.set.limits.max_attempts || now >= r.deadline - ANSWER_MARGIN;
+            let late = held_for >= READY_MOST || now >= r.deadline - ANSWER_MARGIN;
+            let spent = late || r.sent >= self.set.limits.max_attempts;
             if let Some(writer) = self.writer_for_state(now, r, held_for).filter(|_| !spent) {
                 self.place(id, writer);
                 self.send_write(now, id, writer, out);
-            } else if spent || held_for >= READY_MOST {
+            } else if spent {
                 // Guards the pin limit: nothing takes this state in time.
                 out.push(Action::Release(id));
                 self.hold(now, id);
@@ -763,7 +762,8 @@
                     out.push(Action::Release(id));
                     self.hold(now, id);
                 } else {
-                    (r.stage, r.ready_since) = (Stage::Ready, now);
+                    let since = if outcome == Outcome::Unreachable { r.ready_since } else { now }; // runs on
+                    (r.stage, r.ready_since) = (Stage::Ready, since);
                 }
             }
         }
--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -166,7 +166,7 @@
             };
             // Since the decision, or while the connection was made, the instance may have begun to drain.
             if self.pool.site(host).is_none_or(|site| !site.ready) {
-                return ended(Outcome::Full);
+                return ended(Outcome::Unreachable);
             }
             let (body, mark) = connection.body(payload.body.clone());
             *written = Some(mark.clone());
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -176,6 +176,20 @@
     }
 }
 
+#[test]
+fn rule_5_the_time_runs_on_while_no_connection_to_a_writer_comes_up() {
+    let mut rig = Rig::new(settings(), &[member(READER, 0), member(WRITER, 1)]);
+    rig.request(1);
+    rig.end(1, READER, Outcome::Read);
+    let read_at = rig.now;
+    rig.tick(250 * MS);
+    let mut out = rig.end(1, WRITER, Outcome::Unreachable);
+    while !out.contains(&Action::Release(RequestId(1))) {
+        out = rig.tick(5 * MS);
+        assert!(rig.now < read_at + 500 * MS, "still held");
+    }
+}
+
 #[test]
 fn rule_1_a_request_of_no_known_class_is_refused_at_once() {
     let mut rig = Rig::new(settings(), &[member(READER, 0), member(WRITER, 1)]);
