Hand over what the module has learnt of all hosts; a restarted host is known anew

Ruled out: the door (0 requests ended there), the calls (0 late or wrong), the start (ready at once).

Learnt holds these figures in one part of the router and goes over with the state, where the settings are the same. Reports and times of a host are forgotten with its restart.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -73,7 +73,7 @@
 // ---- Fleet view ----
 
 /// A mean that fades towards another with age.
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
 struct Fading {
     value: f64,
     at: Micros,
@@ -177,7 +177,7 @@
 // ---- Speed curve ----
 
 /// Decayed least squares of pace over (1, L-1, L(L-1)), for one kind of host.
-#[derive(Clone, Default)]
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
 struct Curve {
     xx: [[f64; 3]; 3],
     xy: [f64; 3],
@@ -257,14 +257,9 @@
     begun: Micros,
 }
 
-/// One router's decisions.
-#[derive(Default)]
-pub struct Router {
-    set: Settings,
-    hosts: BTreeMap<HostId, Host>,
-    requests: BTreeMap<RequestId, Request>,
-    high: BTreeSet<(Micros, RequestId)>,
-    low: BTreeSet<(Micros, RequestId)>,
+/// What is learnt of the fleet as a whole: worth handing on to a router that takes this one's place.
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Learnt {
     curves: Vec<Curve>,
     read_cost: Fading,
     first_took: Fading,
@@ -275,11 +270,23 @@
     /// Means at readers: requests that others hold, and tokens that were left to be read.
     crowd: f64,
     unread: Fading,
-    low_next: Micros,
     low_gap: f64,
-    salt: u64,
     reads: Fading,
     writes: Fading,
+}
+
+/// One router's decisions.
+#[derive(Default)]
+pub struct Router {
+    set: Settings,
+    /// What is known of all hosts; a new router of the same settings may be given an older one's.
+    pub all: Learnt,
+    hosts: BTreeMap<HostId, Host>,
+    requests: BTreeMap<RequestId, Request>,
+    high: BTreeSet<(Micros, RequestId)>,
+    low: BTreeSet<(Micros, RequestId)>,
+    low_next: Micros,
+    salt: u64,
     /// When a request last had to wait, or an attempt was in vain.
     pressed_at: Micros,
     wake_at: Option<Micros>,
@@ -290,14 +297,13 @@
 impl Router {
     /// A router that knows no host yet.
     pub fn new(settings: Settings, seed: u64) -> Self {
-        Router {
+        let all = Learnt {
             curves: vec![Curve::default(); settings.kinds.len()],
             read_cost: Fading { value: READ_COST, at: Micros::MIN / 2 },
             first_took: Fading { value: FIRST_TOOK, at: Micros::MIN / 2 },
-            salt: seed,
-            set: settings,
-            ..Router::default()
-        }
+            ..Learnt::default()
+        };
+        Router { salt: seed, set: settings, all, ..Router::default() }
     }
 
     /// Takes in what happened and says what to do, in order.
@@ -347,8 +353,8 @@
         let tokens = hint.unwrap_or(ask.most_tokens * LENGTH_GUESS).max(1.0);
         let stretch = (class.aim_per_1000 as f64 * ask.prompt_tokens / 1000.0) as Micros;
         let aim_at = now.saturating_add(class.aim.saturating_add(stretch).min(ask.time_left));
-        let gain = if self.footprint > 0.0 { FLEET_GAIN } else { 1.0 };
-        self.footprint += gain * (ask.prompt_tokens + tokens - self.footprint);
+        let gain = if self.all.footprint > 0.0 { FLEET_GAIN } else { 1.0 };
+        self.all.footprint += gain * (ask.prompt_tokens + tokens - self.all.footprint);
         let request = Request {
             ask: ask.clone(),
             aim_at,
@@ -435,7 +441,7 @@
             && let Some((reader, writer)) = self.pair(now, key.1, false)
         {
             self.low.remove(&key);
-            self.low_next = now + self.low_gap as Micros;
+            self.low_next = now + self.all.low_gap as Micros;
             self.start(now, key.1, reader, writer, out);
         }
     }
@@ -443,8 +449,8 @@
     /// The low tier's sends are four times as far apart after one that came late, and half after one in time.
     fn low_went(&mut self, well: bool) {
         let (gap, routers) =
-            (self.low_gap * if well { 0.5 } else { 4.0 }, f64::from(self.set.routers.max(1)));
-        self.low_gap = gap.clamp(LOW_GAP_LEAST * routers, LOW_GAP_MOST * routers);
+            (self.all.low_gap * if well { 0.5 } else { 4.0 }, f64::from(self.set.routers.max(1)));
+        self.all.low_gap = gap.clamp(LOW_GAP_LEAST * routers, LOW_GAP_MOST * routers);
     }
 
     /// Admits a request: the writer counts it from now on, and its prompt is read.
@@ -462,7 +468,7 @@
         if let Some(r) = self.requests.get_mut(&id) {
             (r.stage, r.reader, r.read_load) = (Stage::Reading, Some(reader), load);
         }
-        self.reads.count(now);
+        self.all.reads.count(now);
         self.send(now, id, reader, expected, out);
         // While the prompt is read, the writers near tell how full they are.
         let cell = self.hosts[&reader].cell;
@@ -476,7 +482,7 @@
     fn room(&self, now: Micros, r: &Request, host: &Host, ready_in: f64, tested: bool) -> Option<f64> {
         let joins = !host.streams.contains(&r.ask.id);
         let load = self.load(now, host) + if joins { 1.0 } else { 0.0 };
-        let pace = self.curves[host.kind.0].pace(load) / host.warmth(now, &self.set.rules);
+        let pace = self.all.curves[host.kind.0].pace(load) / host.warmth(now, &self.set.rules);
         let strictest = host.streams.iter().filter_map(|id| self.requests.get(id)).map(|s| s.token_aim);
         let aim = strictest.fold(r.token_aim, f64::min);
         let slow = pace / (aim * PACE_BOUND);
@@ -496,7 +502,7 @@
 
     /// All streams at a writer: the own, and others' by the memory that they hold.
     fn load(&self, now: Micros, host: &Host) -> f64 {
-        host.streams.len() as f64 + self.others_at(now, host) / self.footprint.max(1.0)
+        host.streams.len() as f64 + self.others_at(now, host) / self.all.footprint.max(1.0)
     }
 
     fn own_tokens(&self, host: &Host, of: impl Fn(&&Request) -> bool) -> f64 {
@@ -505,13 +511,13 @@
 
     /// Tokens that others hold at a writer, by its last report and the mean of all writers'.
     fn others_at(&self, now: Micros, host: &Host) -> f64 {
-        let mean = if host.memory.is_finite() { self.others * host.memory } else { 0.0 };
+        let mean = if host.memory.is_finite() { self.all.others * host.memory } else { 0.0 };
         host.others.map_or(mean, |o| o.get(now, mean))
     }
 
     /// Time until a first token at a writer; an attempt waiting longer than that speaks too.
     fn first_time(&self, now: Micros, host: &Host) -> f64 {
-        host.first_took.get(now, self.first_took.value).max(host.oldest_pending(now))
+        host.first_took.get(now, self.all.first_took.value).max(host.oldest_pending(now))
     }
 
     // ---- Pairing ----
@@ -573,7 +579,7 @@
         let drawn = |h: &Host| {
             let room = self.room(now, r, h, ready_in, tested)?;
             // Emptier than most is no better: reports are late, and what fails at once looks empty.
-            let most = if self.set.routers > FEW_ROUTERS { 1.0 - self.others } else { 1.0 };
+            let most = if self.set.routers > FEW_ROUTERS { 1.0 - self.all.others } else { 1.0 };
             let weight = room.min(most.max(SPARE_LEAST)).max(0.0).powf(CHOICE);
             let weight = weight * reader.map_or(1.0, |from| place(h, from));
             let rank = if room > 0.0 { weighted(h.id.0, self.salt ^ r.ask.id.0, weight) } else { room };
@@ -594,7 +600,7 @@
 
     /// Tokens left to read there: at its home a prompt has usually been begun by other routers' reads.
     fn unread_at(&self, host: &Host, r: &Request) -> f64 {
-        let usual = if r.home == Some(host.id) { self.kept_share * r.ask.prompt_tokens } else { 0.0 };
+        let usual = if r.home == Some(host.id) { self.all.kept_share * r.ask.prompt_tokens } else { 0.0 };
         r.ask.prompt_tokens - Self::known_at(host, r).max(usual)
     }
 
@@ -602,12 +608,12 @@
     fn reading(&self, now: Micros, host: &Host) -> f64 {
         let out = host.pending.keys().filter_map(|id| self.requests.get(id));
         let own: f64 = out.filter(|r| r.stage == Stage::Reading).map(|r| r.unread + READ_EXTRA).sum();
-        own + host.crowd.map_or(0.0, |c| c.get(now, self.crowd)) * (self.unread.value + READ_EXTRA)
+        own + host.crowd.map_or(0.0, |c| c.get(now, self.all.crowd)) * (self.all.unread.value + READ_EXTRA)
     }
 
     /// Time in which a reader would have read this prompt, after the own reads before it.
     fn read_time(&self, now: Micros, host: &Host, r: &Request) -> f64 {
-        let cost = host.read_cost.get(now, self.read_cost.value) / host.warmth(now, &self.set.rules);
+        let cost = host.read_cost.get(now, self.all.read_cost.value) / host.warmth(now, &self.set.rules);
         ((self.reading(now, host) + self.unread_at(host, r) + READ_EXTRA) * cost)
             .max(host.oldest_pending(now))
     }
@@ -663,7 +669,7 @@
         let reads = if r.reader.is_none() { self.read_time(now, host, r) } else { 0.0 };
         let expected = self.first_time(now, host) + reads;
         self.requests.entry(id).and_modify(|r| r.stage = Stage::Writing);
-        self.writes.count(now);
+        self.all.writes.count(now);
         self.send(now, id, writer, expected, out);
     }
 
@@ -693,23 +699,23 @@
         if r.reader.is_some() {
             return self.first_token(now, at, took);
         }
-        host.read_cost.learn(now, self.read_cost.value, took as f64 / (r.unread + READ_EXTRA), HOST_GAIN);
+        host.read_cost.learn(now, self.all.read_cost.value, took as f64 / (r.unread + READ_EXTRA), HOST_GAIN);
         host.kept.extend(r.ask.prefix.map(|key| (key, r.ask.prefix_tokens)));
     }
 
     /// A first token took this long, or longer when the attempt timed out.
     fn first_token(&mut self, now: Micros, at: HostId, took: Micros) {
         let Some(host) = self.hosts.get_mut(&at) else { return };
-        host.first_took.learn(now, self.first_took.value, took as f64, HOST_GAIN);
-        self.first_took.follow(now, took as f64);
+        host.first_took.learn(now, self.all.first_took.value, took as f64, HOST_GAIN);
+        self.all.first_took.follow(now, took as f64);
     }
 
     fn ended(
         &mut self, now: Micros, id: RequestId, at: HostId,
         (outcome, last, kept, took): (Outcome, bool, f64, Micros), out: &mut Vec<Action>,
     ) {
-        let was_read = self.requests.get(&id).is_some_and(|r| r.stage == Stage::Reading);
-        let begun = self.requests.get(&id).map_or(now, |r| r.begun);
+        let known = self.requests.get(&id).map(|r| (r.stage == Stage::Reading, r.begun));
+        let (was_read, begun) = known.unwrap_or((false, now));
         let sent_at = self.hosts.get_mut(&at).and_then(|h| h.pending.remove(&id)).unwrap_or(begun);
         let waited = self.requests.get(&id).filter(|r| r.stage != Stage::Streaming);
         if let Some((unread, from_low, aim_at)) = waited.map(|r| (r.unread, r.from_low, r.aim_at)) {
@@ -722,9 +728,8 @@
                 _ => {}
             }
         }
-        if matches!(outcome, Outcome::TimedOut | Outcome::Full) {
-            self.pressed_at = now;
-        }
+        let pressed = matches!(outcome, Outcome::TimedOut | Outcome::Full);
+        self.pressed_at = if pressed { now } else { self.pressed_at };
         match outcome {
             Outcome::Served => self.served(now, id, at),
             Outcome::Read => self.was_read(now, id, at, kept, took),
@@ -777,16 +782,16 @@
         let streamed = self.requests.get(&id).filter(|r| r.stage == Stage::Streaming);
         let (Some(r), Some(host)) = (streamed, self.hosts.get(&at)) else { return };
         let load = self.load(now, host);
-        self.curves[host.kind.0].learn(load, r.tokens, (now - r.begun) as f64);
+        self.all.curves[host.kind.0].learn(load, r.tokens, (now - r.begun) as f64);
     }
 
     /// A read took this long, or longer, for all the own tokens up to it: others' reads show in the cost.
     fn read_took(&mut self, now: Micros, id: RequestId, at: HostId, unread: f64, took: Micros) {
         let (Some(r), Some(host)) = (self.requests.get(&id), self.hosts.get_mut(&at)) else { return };
-        self.unread.follow(now, unread);
+        self.all.unread.follow(now, unread);
         let cost = took as f64 / (r.read_load - r.unread + unread).max(READ_EXTRA);
-        host.read_cost.learn(now, self.read_cost.value, cost, HOST_GAIN);
-        self.read_cost.follow(now, cost);
+        host.read_cost.learn(now, self.all.read_cost.value, cost, HOST_GAIN);
+        self.all.read_cost.follow(now, cost);
     }
 
     fn was_read(&mut self, now: Micros, id: RequestId, at: HostId, kept: f64, took: Micros) {
@@ -794,7 +799,7 @@
         let Some(r) = self.requests.get(&id) else { return };
         if r.home == Some(at) {
             let share = (kept / r.ask.prompt_tokens.max(1.0)).clamp(0.0, 1.0);
-            self.kept_share += FLEET_GAIN * (share - self.kept_share);
+            self.all.kept_share += FLEET_GAIN * (share - self.all.kept_share);
         }
         self.read_took(now, id, at, (r.ask.prompt_tokens - kept).max(0.0), took);
         let (Some(r), Some(host)) = (self.requests.get(&id), self.hosts.get_mut(&at)) else { return };
@@ -818,8 +823,8 @@
 
     /// Far emptier than the rest though warm, as a writer is that answers with errors at once.
     fn hollow(&self, now: Micros, host: &Host) -> bool {
-        let tells = self.set.routers > FEW_ROUTERS && self.others > HOLLOW_LEAST;
-        let empty = host.others.is_some_and(|o| o.value < HOLLOW * self.others * host.memory);
+        let tells = self.set.routers > FEW_ROUTERS && self.all.others > HOLLOW_LEAST;
+        let empty = host.others.is_some_and(|o| o.value < HOLLOW * self.all.others * host.memory);
         tells && empty && host.warmth(now, &self.set.rules) >= 1.0
     }
 
@@ -874,8 +879,8 @@
         if r.sent > 0 {
             out.push(Action::Release(id));
         }
-        let repeats =
-            matches!(self.set.classes[r.ask.class.0].effect, Effect::Safe | Effect::Keyed(Group::All, _));
+        let class = &self.set.classes[r.ask.class.0];
+        let repeats = matches!(class.effect, Effect::Safe | Effect::Keyed(Group::All, _));
         let harmless = repeats || r.may_have_run.is_none();
         out.push(if harmless {
             let share = 1.0 - COME_BACK * chance(id.0 as u32, self.salt);
@@ -911,9 +916,7 @@
     fn hosts_told(&mut self, now: Micros, whole: bool, members: &[Member]) {
         if whole {
             let named: BTreeSet<_> = members.iter().map(|m| m.host).collect();
-            for (_, host) in self.hosts.iter_mut().filter(|(id, _)| !named.contains(id)) {
-                host.phase = Phase::Gone;
-            }
+            self.hosts.values_mut().filter(|h| !named.contains(&h.id)).for_each(|h| h.phase = Phase::Gone);
         }
         for m in members {
             let Some(kind) = self.set.kinds.get(m.kind.0) else { continue };
@@ -929,8 +932,8 @@
             host.phase = m.phase;
             if m.started > host.started {
                 (host.started, host.next_cold) = (m.started, 0);
-                (host.fails, host.rest_until, host.last_until) = (0, 0, 0);
-                host.kept.clear();
+                (host.fails, host.rest_until, host.last_until, host.crowd, host.others) = Default::default();
+                (host.kept, host.read_cost, host.first_took) = Default::default();
             }
             if host.next_cold == 0 && m.started.is_some() {
                 self.put_off(now, m.host);
@@ -961,13 +964,12 @@
     /// Rule 4: least time between own sends to a starting host, by what a host of that role takes now.
     fn cold_gap(&self, now: Micros, to: HostId) -> Micros {
         let Some(host) = self.hosts.get(&to) else { return 0 };
-        let rules = &self.set.rules;
-        let rate = if host.role == Role::Read { self.reads } else { self.writes }.get(now, 0.0) / FADE;
+        let sends = if host.role == Role::Read { self.all.reads } else { self.all.writes };
         let same =
             |h: &&Host| (h.role == Role::Read) == (host.role == Role::Read) && h.phase == Phase::Serving;
-        let each = rate / self.hosts.values().filter(same).count().max(1) as f64;
-        let budget = each * rules.fall_multiple * rules.start_capacity * COLD_SHARE;
-        (1.0 / budget.max(1e-9)).min(COLD_GAP * rules.overload_for as f64) as Micros
+        let each = sends.get(now, 0.0) / FADE / self.hosts.values().filter(same).count().max(1) as f64;
+        let budget = each * self.set.rules.fall_multiple * self.set.rules.start_capacity * COLD_SHARE;
+        (1.0 / budget.max(1e-9)).min(COLD_GAP * self.set.rules.overload_for as f64) as Micros
     }
 
     /// What others hold of a writer's memory, from its report; absurd reports are passed over.
@@ -976,15 +978,15 @@
         if let (Some(held), Some(host)) = (held, self.hosts.get_mut(&at).filter(|h| h.role == Role::Read)) {
             let others = (held - host.pending.len() as f64).max(0.0);
             host.crowd = Some(Fading { value: others, at: now });
-            self.crowd += 2.0 * FLEET_GAIN * (others - self.crowd);
+            self.all.crowd += 2.0 * FLEET_GAIN * (others - self.all.crowd);
         }
         let host = self.hosts.get(&at).filter(|h| h.role != Role::Read && h.memory.is_finite());
         let share = load.and_then(|load| load.memory).filter(|share| (0.0..=2.0).contains(share));
         let (Some(host), Some(share)) = (host, share) else { return };
         let begun = self.own_tokens(host, |r| r.stage == Stage::Streaming);
         let others = (share * host.memory - begun).max(0.0);
-        let gain = if self.others > 0.0 { 2.0 * FLEET_GAIN } else { 1.0 };
-        self.others += gain * (others / host.memory.max(1.0) - self.others);
+        let gain = if self.all.others > 0.0 { 2.0 * FLEET_GAIN } else { 1.0 };
+        self.all.others += gain * (others / host.memory.max(1.0) - self.all.others);
         self.hosts.entry(at).and_modify(|h| h.others = Some(Fading { value: others, at: now }));
     }
 
@@ -994,9 +996,8 @@
         if !few || !self.set.limits.probes || self.requests.is_empty() {
             return;
         }
-        if !self.high.is_empty() || !self.low.is_empty() {
-            self.pressed_at = now;
-        }
+        let waiting = !self.high.is_empty() || !self.low.is_empty();
+        self.pressed_at = if waiting { now } else { self.pressed_at };
         let pressed = now < self.pressed_at.saturating_add(PRESSED);
         let every = if pressed { PROBE_EVERY } else { PROBE_CALM } as f64;
         for host in self.hosts.values_mut().filter(|h| h.role != Role::Read && h.phase == Phase::Serving) {
--- a/src/main.rs
+++ b/src/main.rs
@@ -84,8 +84,11 @@
         None => (None, listen(config.listen, meeting.is_some())?, None),
     };
     let listener = Rc::new(listener);
+    let settings = handover::digest(&config.settings);
+    let same = inherited.as_ref().filter(|state| state.settings == settings);
+    let learnt = same.map(|state| state.learnt.clone());
     let pool = Rc::new(Pool::new(config.pool, counters.clone()));
-    let (planner, orders) = Planner::start(config.settings.clone(), config.seed, clock);
+    let (planner, orders) = Planner::start(config.settings.clone(), config.seed, clock, learnt);
     let upstream = Rc::new(Upstream::new(pool.clone(), Dialect::Platform, counters.clone()));
     let (discovery, address) = watch::channel(config.discovery);
     let (hangups, path) = replaced;
@@ -133,6 +136,7 @@
     let weak = Rc::downgrade(&listener);
     let estate = Estate {
         hello,
+        settings,
         fleet,
         shutdown: shutdown.clone(),
         intake: intake.clone(),
@@ -168,7 +172,7 @@
     let listener = Rc::new(listen(config.listen, false)?);
     let seed = clock.now() as u64 ^ u64::from(std::process::id()) << 48;
     let pool = Rc::new(Pool::new(config.pool.clone(), counters.clone()));
-    let (planner, orders) = Planner::start(config.settings.clone(), seed, clock);
+    let (planner, orders) = Planner::start(config.settings.clone(), seed, clock, None);
     let dialect = Dialect::Chat(std::mem::take(&mut config.server_headers));
     let upstream = Rc::new(Upstream::new(pool.clone(), dialect, counters.clone()));
     let core = Core { planner, upstream, counters };
--- a/src/node/handover.rs
+++ b/src/node/handover.rs
@@ -7,10 +7,12 @@
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::membership::Membership;
 use super::readiness::Happening;
-use crate::api::Micros;
+use crate::api::{Micros, Settings};
+use crate::logic::Learnt;
 
 /// Of what is told. Another version is another way of speaking; nothing is handed over between two of them.
 pub const VERSION: u32 = 1;
@@ -57,6 +59,15 @@
     pub drained: bool,
     /// Whose versions the list has.
     pub discovery: SocketAddr,
+    /// What the decision module knows of all hosts...
+    pub learnt: Learnt,
+    /// ...and under which settings, as [`digest`] tells them apart: under others it says nothing.
+    pub settings: u64,
+}
+
+/// Tells settings apart.
+pub fn digest(settings: &Settings) -> u64 {
+    xxh3_64(format!("{settings:?}").as_bytes())
 }
 
 /// Why nothing is handed over.
--- a/src/node/planner.rs
+++ b/src/node/planner.rs
@@ -9,7 +9,7 @@
 
 use super::{Clock, span};
 use crate::api::*;
-use crate::logic::Router;
+use crate::logic::{Learnt, Router};
 
 /// What a planner wants of a request's task.
 #[derive(Debug, PartialEq)]
@@ -43,7 +43,7 @@
     Arrive(NewRequest, UnboundedSender<Order>),
     Tell(Event),
     Closed(RequestId),
-    Mark(oneshot::Sender<()>),
+    Mark(oneshot::Sender<Learnt>),
 }
 
 /// The forwarders' way to a planner.
@@ -54,17 +54,17 @@
 }
 
 impl Planner {
-    /// Starts a planner on the current local task set.
-    pub fn start(settings: Settings, seed: u64, clock: Clock) -> (Self, UnboundedReceiver<FleetOrder>) {
+    /// Starts a planner on the current local task set, with what one of the same settings has learnt before.
+    pub fn start(
+        settings: Settings, seed: u64, clock: Clock, learnt: Option<Learnt>,
+    ) -> (Self, UnboundedReceiver<FleetOrder>) {
         let (inputs, inbox) = mpsc::unbounded_channel();
         let (fleet, fleet_orders) = mpsc::unbounded_channel();
-        let desk = Desk {
-            router: Router::new(settings, seed),
-            clock,
-            seats: HashMap::new(),
-            inputs: inputs.clone(),
-            fleet,
-        };
+        let mut router = Router::new(settings, seed);
+        if let Some(learnt) = learnt {
+            router.all = learnt;
+        }
+        let desk = Desk { router, clock, seats: HashMap::new(), inputs: inputs.clone(), fleet };
         tokio::task::spawn_local(desk.run(inbox));
         (Planner { inputs, next_id: Rc::default() }, fleet_orders)
     }
@@ -94,11 +94,11 @@
         self.put(Input::Tell(Event::Probed { host, outcome, load }));
     }
 
-    /// Waits until all that was told before is decided on.
-    pub async fn settled(&self) {
+    /// Waits until all that was told before is decided on, and gives what is known then of all hosts.
+    pub async fn settled(&self) -> Learnt {
         let (mark, reached) = oneshot::channel();
         self.put(Input::Mark(mark));
-        let _ = reached.await;
+        reached.await.unwrap_or_default()
     }
 
     fn put(&self, input: Input) {
@@ -201,7 +201,7 @@
             }
             parted.into_iter().for_each(|id| self.order(id, Order::Parted));
             closed.iter().for_each(|id| drop(self.seats.remove(id)));
-            marks.into_iter().for_each(|mark| mark.send(()).unwrap_or_default());
+            marks.into_iter().for_each(|mark| drop(mark.send(self.router.all.clone())));
         }
     }
 
--- a/src/node/succession.rs
+++ b/src/node/succession.rs
@@ -181,6 +181,8 @@
 pub struct Estate {
     /// Who this is.
     pub hello: Hello,
+    /// Its settings, as a digest.
+    pub settings: u64,
     /// Its instances.
     pub fleet: Rc<Fleet>,
     /// Where it stands.
@@ -337,6 +339,8 @@
             membership: self.fleet.membership(),
             drained: self.shutdown.readiness().drained(),
             discovery: *self.discovery.borrow(),
+            learnt: self.fleet.core().planner.settled().await,
+            settings: self.settings,
         };
         say(&mut half, &Message::State(Box::new(state))).await?;
         Ok((BufReader::new(read), half))
