--- a/tests/player/mod.rs
+++ b/tests/player/mod.rs
@@ -195,6 +195,12 @@
         Program { child, log, seen: Vec::new(), base: base.to_owned(), dir }
     }
 
+    /// Its files stay when it has ended: other processes of the test use them.
+    pub fn leaving_files(mut self) -> Self {
+        self.dir = PathBuf::new();
+        self
+    }
+
     /// Waits for a line of the log.
     pub fn logs(&mut self, part: &str) {
         while !self.seen.iter().any(|line| line.contains(part)) {
