--- a/src/logic.rs
+++ b/src/logic.rs
@@ -968,7 +968,7 @@
         let same =
             |h: &&Host| (h.role == Role::Read) == (host.role == Role::Read) && h.phase == Phase::Serving;
         let each = sends.get(now, 0.0) / FADE / self.hosts.values().filter(same).count().max(1) as f64;
-        let budget = each * self.set.rules.fall_multiple * self.set.rules.start_capacity * COLD_SHARE;
+        let budget = each * self.set.rules.fall_multiple * host.warmth(now, &self.set.rules) * COLD_SHARE;
         (1.0 / budget.max(1e-9)).min(COLD_GAP * self.set.rules.overload_for as f64) as Micros
     }
 
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -468,3 +468,43 @@
     // Nor does its silence make the host look slow to the next.
     assert_eq!(time_out(&rig.step(S, &[ended(1, WRITER, Outcome::Cancelled, true), whole(3)])), 4 * S);
 }
+
+/// Sends to a reader that started so long ago, of forty requests a second for two seconds over four readers, by a
+/// router that has had such a load before, or by one that was given what that router has learnt.
+fn sent_to_cold(age: Micros, handed_on: bool) -> usize {
+    let members: Vec<_> = (1..5).map(|h| member(h, 0)).chain([member(20, 1), member(21, 1)]).collect();
+    let mut rig = Rig::new(settings(), &members);
+    let play = |rig: &mut Rig, ids: std::ops::Range<u64>| {
+        let ask = |id| NewRequest { prefix: Some(TextKey(id)), ..ask(id) };
+        let sends = ids.filter(|&id| {
+            let reader = sent_to(&rig.step(25 * MS, &[Event::Request(ask(id))]));
+            let writer =
+                reader.and_then(|reader| sent_to(&rig.step(0, &[ended(id, reader, Outcome::Read, false)])));
+            writer.map(|writer| rig.step(0, &[began(id, writer), ended(id, writer, Outcome::Served, true)]));
+            reader == Some(1)
+        });
+        sends.count()
+    };
+    play(&mut rig, 0..800);
+    if handed_on {
+        let all = rig.router.all.clone();
+        let now = rig.now;
+        rig = Rig { now, ..Rig::new(settings(), &members) };
+        rig.router.all = all;
+    }
+    let cold = Member { started: Some(rig.now - age), ..member(1, 0) };
+    rig.step(0, &[Event::Hosts { whole: false, members: vec![cold] }]);
+    play(&mut rig, 1_000..1_080)
+}
+
+#[test]
+fn a_cold_host_gets_more_as_it_warms() {
+    let (new, warmer) = (sent_to_cold(0, false), sent_to_cold(6 * S, false));
+    assert!(new > 0 && warmer >= 2 * new, "{new} at its start, {warmer} six seconds later");
+}
+
+#[test]
+fn a_router_in_another_ones_place_uses_cold_hosts_as_that_one_did() {
+    let (before, after) = (sent_to_cold(4 * S, false), sent_to_cold(4 * S, true));
+    assert!(before > 5 && after * 10 >= before * 7, "{before} by the old router, {after} by the new one");
+}
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -16,6 +16,9 @@
 /// Far above any wait that is meant.
 const PATIENCE: Duration = Duration::from_secs(20);
 
+/// A client at work: how many of its requests were answered, and which were not.
+type Asking = std::thread::JoinHandle<(u32, Vec<String>)>;
+
 /// The head of a message and its body, whichever way it is framed; none at the end of the connection.
 fn message(from: &mut impl BufRead) -> Option<(String, Vec<u8>)> {
     let (mut head, mut body) = (String::new(), Vec::new());
@@ -152,7 +155,7 @@
     }
 
     /// Asks over and over from several clients until the result is told to stop; it gives back what was lost.
-    fn load(&self) -> (Arc<AtomicBool>, Vec<std::thread::JoinHandle<(u32, Vec<String>)>>) {
+    fn load(&self) -> (Arc<AtomicBool>, Vec<Asking>) {
         static NEXT: AtomicU32 = AtomicU32::new(1);
         let stop = Arc::new(AtomicBool::new(false));
         let clients = (0..6).map(|n| {
@@ -222,7 +225,7 @@
     }
 }
 
-fn all_answered(clients: Vec<std::thread::JoinHandle<(u32, Vec<String>)>>) -> u32 {
+fn all_answered(clients: Vec<Asking>) -> u32 {
     let ended = clients.into_iter().map(|client| client.join().expect("no panic"));
     let (answered, lost): (Vec<_>, Vec<_>) = ended.unzip();
     assert!(lost.iter().all(Vec::is_empty), "lost {lost:?}");
