--- a/src/logic.rs
+++ b/src/logic.rs
@@ -143,11 +143,11 @@
         (rules.start_capacity + (1.0 - rules.start_capacity) * age.max(0.0)).min(1.0)
     }
 
-    /// Rule 4 by chance: of what a cold host is first choice for, this part goes there, where routers are many.
-    fn spared(&self, now: Micros, ask: &NewRequest, part: f64, set: &Settings) -> bool {
-        let warmth = if set.routers > FEW_ROUTERS { self.warmth(now, &set.rules) } else { 1.0 };
+    /// Rule 4 by chance: of what a cold host is the first choice for, this part goes there, from all routers.
+    fn spared(&self, now: Micros, ask: &NewRequest, part: f64, rules: &Rules) -> bool {
+        let warmth = self.warmth(now, rules);
         let key = ask.session.unwrap_or(TextKey(ask.id.0)).0;
-        warmth < 1.0 && chance(self.id.0, !key) > part * set.rules.fall_multiple * COLD_SHARE * warmth
+        warmth < 1.0 && chance(self.id.0, !key) > part * rules.fall_multiple * COLD_SHARE * warmth
     }
 
     fn takes(&self, now: Micros, ask: &NewRequest, rules: &Rules) -> bool {
@@ -527,7 +527,7 @@
         let r = self.requests.get(&id)?;
         let may_read = r.sent + 2 <= self.set.limits.max_attempts;
         let rules = &self.set.rules;
-        let takes = |h: &Host| h.takes(now, &r.ask, rules) && !h.spared(now, &r.ask, 1.0, &self.set);
+        let takes = |h: &Host| h.takes(now, &r.ask, rules) && !h.spared(now, &r.ask, 1.0, rules);
         let homes = self.homes(now, r, |h| may_read && takes(h));
         if homes.iter().take(ASKED).any(|h| h.asked && now < h.probed_at + ASK_WAIT) {
             return None;
@@ -586,7 +586,7 @@
             Some((!(self.last(now, h) || once && self.hollow(now, h)), rank, h.id))
         };
         let all: f64 = self.hosts.values().filter(fits).map(|h| h.warmth(now, &self.set.rules)).sum();
-        let spared = |h: &&Host| h.spared(now, &r.ask, 1.0 / all.max(1e-9), &self.set);
+        let spared = |h: &&Host| h.spared(now, &r.ask, 1.0 / all.max(1e-9), &self.set.rules);
         let ranked = self.hosts.values().filter(|h| fits(h) && !spared(h)).filter_map(drawn);
         ranked.max_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))).map(|best| best.2)
     }
