--- a/src/main.rs
+++ b/src/main.rs
@@ -68,8 +68,10 @@
 
 async fn start_platform(
     config: Platform, clock: Clock, counters: Rc<Counters>, shutdown: &Shutdown, replaced: (Signal, PathBuf),
+    alone: bool,
 ) -> Result<(), StartError> {
-    let meeting = config.operator.and_then(|_| succession::meeting_place(&config.name));
+    // The chat front's address cannot be shared, so a process with one is not succeeded while it runs.
+    let meeting = config.operator.filter(|_| alone).and_then(|_| succession::meeting_place(&config.name));
     let hello = Hello { version: handover::VERSION, name: config.name.clone(), listen: config.listen };
     let inherited = match &meeting {
         Some(path) if path.exists() => {
@@ -93,7 +95,7 @@
     let (discovery, address) = watch::channel(config.discovery);
     let (hangups, path) = replaced;
     spawn_local(reload::follow(hangups, path, discovery, counters.clone()));
-    let core = Core { planner, upstream, counters };
+    let core = Core { planner, upstream, counters: counters.clone() };
     spawn_local(tend_fleet(core.clone(), orders));
     spawn_local(async move { pool.tidy().await });
 
@@ -124,7 +126,7 @@
         tracing::info!("ready, {}", if in_time { "with discovery's list" } else { "discovery is silent" });
         noted.note(Happening::CanServe);
     });
-    let intake = Intake::new(config.intake, config.body_bytes);
+    let intake = Intake::new(config.intake, config.body_bytes, counters.clone());
     let front = PlatformFront::new(core, config.names, intake.clone(), shutdown.clone());
     let partners = Partners::default();
     if let Some(place) = config.operator {
@@ -175,7 +177,7 @@
     let (planner, orders) = Planner::start(config.settings.clone(), seed, clock, None);
     let dialect = Dialect::Chat(std::mem::take(&mut config.server_headers));
     let upstream = Rc::new(Upstream::new(pool.clone(), dialect, counters.clone()));
-    let core = Core { planner, upstream, counters };
+    let core = Core { planner, upstream, counters: counters.clone() };
     spawn_local(tend_fleet(core.clone(), orders));
     let tidied = pool.clone();
     spawn_local(async move { tidied.tidy().await });
@@ -187,7 +189,7 @@
     }
     core.planner.hosts(true, members);
     let (listen, tls) = (config.listen, config.tls.take());
-    let intake = Intake::new(config.intake, config.body_bytes);
+    let intake = Intake::new(config.intake, config.body_bytes, counters.clone());
     let front = ChatFront::new(core, Rc::new(config), intake.clone(), shutdown.clone(), seed);
     spawn_local(serve(listener, tls, intake, shutdown.clone(), move |peer| front.for_peer(peer)));
     tracing::info!("chat front listens on {listen}");
@@ -219,7 +221,7 @@
         config.leave(chat.as_ref().map_or(0, |chat| chat.intake + chat.pool.connections));
         let counters = Rc::new(Counters::default());
         counted.push(("platform", counters.clone()));
-        start_platform(config, clock, counters, &shutdown, (hangups, path)).await?;
+        start_platform(config, clock, counters, &shutdown, (hangups, path), chat.is_none()).await?;
     } else {
         spawn_local(reload::refuse(hangups));
     }
--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -29,6 +29,10 @@
     malformed,
     /// Requests refused at intake because the conductor was full, never taken in.
     shed,
+    /// Clients' connections without a request closed to make room.
+    evicted,
+    /// The same amid a request that had stopped arriving.
+    evicted_begun,
     /// Final answers: a whole stream.
     served,
     /// Final answers: a stream that broke after its first event.
--- a/src/node/front/chat.rs
+++ b/src/node/front/chat.rs
@@ -227,7 +227,7 @@
         let retries = request.headers().get(RETRY_COUNT).and_then(|v| v.to_str().ok()?.parse::<u32>().ok());
         ask.again = retries.is_some_and(|n| n > 0);
         ask.time_left -= arrived.elapsed().as_micros() as Micros;
-        if self.intake.crowded() {
+        if self.intake.full() {
             return Err(self.shed());
         }
         let id = self.new_id();
--- a/src/node/front/intake.rs
+++ b/src/node/front/intake.rs
@@ -19,6 +19,8 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
+use crate::node::counters::{Counters, add};
+
 /// Largest body of a request.
 pub const BODY_MOST: usize = 256 * 1024;
 /// How much of a body that is too large is read to keep the connection usable.
@@ -36,7 +38,7 @@
 const SHARE: usize = 42;
 /// For a connection that has said nothing before it may make room: its first bytes may be on their way.
 const SILENT_LEAST: Duration = Duration::from_millis(250);
-/// The same for one that has begun a head.
+/// For one that has begun a request, since it last sent a part of it.
 const BEGUN_LEAST: Duration = Duration::from_millis(1_000);
 /// How long a connection is still read after its last answer: closed over unread bytes, it would be reset and the
 /// answer lost.
@@ -61,6 +63,8 @@
     Idle,
     /// A head has begun.
     Begun,
+    /// The head is there, and its body not yet whole.
+    Arriving,
     /// A request is open.
     Open,
 }
@@ -78,12 +82,18 @@
 pub struct Line {
     stage: Cell<Stage>,
     since: Cell<Instant>,
+    /// When bytes last came.
+    heard: Cell<Instant>,
     head: RefCell<Vec<u8>>,
     head_whole: Cell<bool>,
     /// Bytes that came behind the head.
     behind: Cell<u64>,
+    /// Of them, how many the open request has.
+    body: Cell<u64>,
     unfit: Cell<u32>,
     making_room: Notify,
+    /// A request's head was taken.
+    head_taken: Notify,
 }
 
 impl Line {
@@ -91,11 +101,14 @@
         Rc::new(Line {
             stage: Cell::new(Stage::Silent),
             since: Cell::new(Instant::now()),
+            heard: Cell::new(Instant::now()),
             head: RefCell::default(),
             head_whole: Cell::new(false),
             behind: Cell::new(0),
+            body: Cell::new(0),
             unfit: Cell::new(0),
             making_room: Notify::new(),
+            head_taken: Notify::new(),
         })
     }
 
@@ -107,6 +120,7 @@
     /// Bytes came. A head is kept as it came until its request is taken: the library shows only one of two
     /// headers that contradict each other.
     fn came(&self, mut bytes: &[u8]) {
+        self.heard.set(Instant::now());
         if self.head_whole.get() {
             return self.behind.set(self.behind.get() + bytes.len() as u64);
         }
@@ -138,10 +152,48 @@
         }
     }
 
+    /// Where it stands: a request is open once it is whole, as far as its head tells how long it is.
+    fn stage(&self) -> Stage {
+        match self.stage.get() {
+            Stage::Open if self.behind.get() < self.body.get() => Stage::Arriving,
+            stage => stage,
+        }
+    }
+
+    /// Since when nothing speaks for keeping it: what sends its request in pieces is still at it.
+    fn quiet_since(&self) -> Instant {
+        match self.stage() {
+            Stage::Begun | Stage::Arriving => self.heard.get(),
+            _ => self.since.get(),
+        }
+    }
+
+    fn may_go(&self) -> bool {
+        let least = match self.stage() {
+            Stage::Leaving | Stage::Idle => Duration::ZERO,
+            Stage::Silent => SILENT_LEAST,
+            Stage::Begun | Stage::Arriving => BEGUN_LEAST,
+            Stage::Open => return false,
+        };
+        self.quiet_since().elapsed() >= least
+    }
+
+    /// Waits until no head is half there, for as long as a whole request may take.
+    pub async fn between_heads(&self) {
+        let rest = async {
+            while self.stage.get() == Stage::Begun {
+                self.head_taken.notified().await;
+            }
+        };
+        let _ = timeout(REQUEST_TIME, rest).await;
+    }
+
     /// A request's head was taken.
     pub fn taken(&self, request: &Request<Incoming>) -> Arrival {
         let since = self.since.get();
         self.turn(Stage::Open);
+        self.body.set(if let Framed::Length(length) = Framed::of(request) { length } else { 0 });
+        self.head_taken.notify_waiters();
         let head = self.head.take();
         let has = |name: &str| {
             let mut names = head.split(|&b| b == b'\n').filter_map(|l| l.split(|&b| b == b':').next());
@@ -157,6 +209,7 @@
     pub fn answered(&self, framed: Framed, unfit: bool) -> bool {
         self.unfit.set(self.unfit.get() + u32::from(unfit));
         self.head_whole.set(false);
+        self.body.set(0);
         framed == Framed::Length(self.behind.replace(0)) && self.unfit.get() < UNFIT_MOST
     }
 
@@ -283,6 +336,7 @@
     most_bytes: Cell<usize>,
     /// Of connections and bytes, while no other process has a part.
     whole: (usize, usize),
+    counters: Rc<Counters>,
 }
 
 /// A connection's place in the intake, given back when dropped.
@@ -331,11 +385,11 @@
 
 impl Intake {
     /// Room for so many connections and so many bytes of bodies.
-    pub fn new(most: usize, most_bytes: usize) -> Rc<Self> {
+    pub fn new(most: usize, most_bytes: usize, counters: Rc<Counters>) -> Rc<Self> {
         let (next, bytes) = (Cell::new(0), Cell::new(0));
         let (left, whole) = (Notify::new(), (most, most_bytes));
         let (most, most_bytes) = (Cell::new(most), Cell::new(most_bytes));
-        Rc::new(Intake { lines: RefCell::default(), next, most, left, bytes, most_bytes, whole })
+        Rc::new(Intake { lines: RefCell::default(), next, most, left, bytes, most_bytes, whole, counters })
     }
 
     /// Keeps to a part of the room while another process of this conductor has the other, or takes the whole again.
@@ -375,17 +429,21 @@
         }
     }
 
+    /// Whether so many requests are open that one more cannot be taken on.
+    pub fn full(&self) -> bool {
+        let open = |line: &&Rc<Line>| line.stage() == Stage::Open;
+        self.crowded() && self.lines.borrow().values().filter(open).count() > self.most.get()
+    }
+
     /// Of those that may go, the first by stage and time.
     fn make_room(&self) {
-        let may_go = |line: &&Rc<Line>| match line.stage.get() {
-            Stage::Leaving | Stage::Idle => true,
-            Stage::Silent => line.since.get().elapsed() >= SILENT_LEAST,
-            Stage::Begun => line.since.get().elapsed() >= BEGUN_LEAST,
-            Stage::Open => false,
-        };
         let lines = self.lines.borrow();
-        if let Some(line) = lines.values().filter(may_go).min_by_key(|l| (l.stage.get(), l.since.get())) {
+        let may_go = lines.values().filter(|line| line.may_go());
+        if let Some(line) = may_go.min_by_key(|line| (line.stage(), line.quiet_since())) {
+            let begun = matches!(line.stage(), Stage::Begun | Stage::Arriving);
+            add(if begun { &self.counters.evicted_begun } else { &self.counters.evicted });
             // Not to be chosen again.
+            line.body.set(0);
             line.turn(Stage::Open);
             line.making_room.notify_one();
         }
@@ -449,3 +507,79 @@
     let text = timeout_at(until, read).await.unwrap_or(Err(BodyError::Slow))?;
     Ok((text, room))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A connection at this stage, begun and last heard so many milliseconds ago.
+    fn line(intake: &Rc<Intake>, stage: Stage, begun: u64, heard: u64) -> Place {
+        let place = intake.enter();
+        let ago = |ms| Instant::now().checked_sub(Duration::from_millis(ms)).expect("a clock that runs");
+        place.line.stage.set(stage);
+        place.line.since.set(ago(begun));
+        place.line.heard.set(ago(heard));
+        if stage == Stage::Arriving {
+            place.line.stage.set(Stage::Open);
+            place.line.body.set(10);
+        }
+        place
+    }
+
+    /// Which of them makes room.
+    fn goes(places: &[&Place], intake: &Intake) -> Option<usize> {
+        let before: Vec<_> = places.iter().map(|p| (p.line.stage(), p.line.since.get())).collect();
+        intake.make_room();
+        let after = places.iter().map(|p| (p.line.stage(), p.line.since.get()));
+        before.into_iter().zip(after).position(|(before, after)| before != after)
+    }
+
+    fn intake() -> Rc<Intake> {
+        Intake::new(100, 1_000, Rc::default())
+    }
+
+    #[test]
+    fn what_still_sends_its_request_is_not_evicted_for_one_that_brings_nothing() {
+        let intake = intake();
+        let slow = line(&intake, Stage::Begun, 1_900, 300);
+        let body = line(&intake, Stage::Arriving, 2_000, 900);
+        assert_eq!(goes(&[&slow, &body], &intake), None);
+        let stuck = line(&intake, Stage::Begun, 1_200, 1_100);
+        assert_eq!(goes(&[&slow, &body, &stuck], &intake), Some(2));
+        assert_eq!(intake.counters.evicted_begun.get(), 1);
+        let idle = line(&intake, Stage::Idle, 0, 0);
+        assert_eq!(goes(&[&slow, &body, &idle], &intake), Some(2));
+        assert_eq!(intake.counters.evicted.get(), 1);
+    }
+
+    #[test]
+    fn a_body_that_stops_halfway_makes_room_and_an_open_request_never_does() {
+        let intake = intake();
+        let open = line(&intake, Stage::Open, 60_000, 60_000);
+        let body = line(&intake, Stage::Arriving, 1_500, 1_500);
+        assert_eq!(goes(&[&open, &body], &intake), Some(1));
+        assert_eq!(goes(&[&open, &body], &intake), None);
+    }
+
+    #[test]
+    fn only_open_requests_make_it_full() {
+        let intake = intake();
+        let _idle = [(); 2].map(|()| line(&intake, Stage::Idle, 0, 0));
+        let open = [(); 3].map(|()| line(&intake, Stage::Open, 0, 0));
+        intake.most.set(2);
+        assert!(intake.full());
+        open[0].line.turn(Stage::Idle);
+        assert!(intake.crowded() && !intake.full());
+    }
+
+    #[test]
+    fn two_processes_together_keep_under_one_limit() {
+        for most in [8, 44, 167, 474] {
+            let intake = Intake::new(most, 1_000, Rc::default());
+            intake.share(true);
+            assert!(2 * (intake.most.get() + intake.spare()) <= most + 2, "{most}");
+            intake.share(false);
+            assert_eq!(intake.most.get(), most);
+        }
+    }
+}
--- a/src/node/front/mod.rs
+++ b/src/node/front/mod.rs
@@ -229,6 +229,7 @@
         // Guards the requests that still arrive: the library closes a connection that has brought nothing
         // yet at once, and the client's request with it.
         let _ = timeout(STILL_ARRIVING, first.wait_for(|used| *used)).await;
+        place.line.between_heads().await;
     };
     // A client that breaks off, or a stream that broke, is told by the request's own task.
     let ended = tokio::select! {
--- a/src/node/front/platform.rs
+++ b/src/node/front/platform.rs
@@ -175,7 +175,7 @@
             read => read?,
         };
         let (id, mut ask) = head?;
-        if self.intake.crowded() {
+        if self.intake.full() {
             return Ok(self.shed());
         }
         let open = OpenId::take(&self.ids, &id).ok_or_else(|| Malformed::Duplicate(id.to_string()))?;
