Move streams to another conductor before SIGKILL cuts them off

While both conductors are in a rolling restart a stream that outlasts SIGKILL finds nobody for its rest. The module had Move among its actions and never asked for it. Now Event::Ending comes 2.3 s after SIGTERM, and what streams is moved where clients come again and there is another conductor; not in an upgrade, whose successor serves at the same address.

--- a/src/api.rs
+++ b/src/api.rs
@@ -332,6 +332,8 @@
         /// The host's report.
         load: Option<Load>,
     },
+    /// The process ends soon, and what streams then is cut off.
+    Ending,
     /// A timer ran out.
     Timer(u64),
 }
@@ -373,7 +375,7 @@
         /// At which writer.
         host: HostId,
     },
-    /// End a running stream in order, to be resumed elsewhere. No present decision asks for it.
+    /// End a running stream in order, to be resumed elsewhere.
     Move(RequestId),
     /// Ask a host how it is.
     Probe(HostId),
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,14 +1,14 @@
 //! Every decision of the router. The interface (settings, events, actions) is `src/api.rs`.
 //!
-//! The mechanism, after SABER's online phase. A request arrives into the high tier, kept by the time at
-//! which its first token is wanted. Whenever something happens, and at each tick while any is held, one of
-//! the first few is drawn at random and tested: would the writer's speed curve at L+1 streams still keep its
+//! The mechanism, after SABER's online phase. A request arrives into the high tier, kept by the time at which
+//! its first token is wanted. Whenever something happens, and at each tick while any is held, one of the
+//! first few is drawn at random and tested: would the writer's speed curve at L+1 streams still keep its
 //! token pace and that of every stream there, has the writer memory for it, and can its first token come in
 //! time? If so the prompt goes to its reader, found by hash of the shared beginning. Else it waits unread.
 //! What cannot start in time drops to the low tier, sent untested while the high tier is empty and given up
-//! on, at once, when the client's deadline is out of reach. After the read the test is made again.
-//! The curve is the Universal Scalability Law in inverse form, pace = a + b(L-1) + c L(L-1), fitted online
-//! for each kind of host. L counts all streams: the own, and others' by the memory that reports show held.
+//! on, at once, when the client's deadline is out of reach. After the read the test is made again. The curve
+//! is the Universal Scalability Law in inverse form, pace = a + b(L-1) + c L(L-1), fitted online for each
+//! kind of host. L counts all streams: the own, and others' by the memory that reports show held.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -337,7 +337,11 @@
                 }
                 self.report(now, *host, load.as_ref());
             }
-            Event::Place { .. } => {}
+            Event::Ending if self.set.limits.resume && self.set.routers > 1 => {
+                let streams = self.requests.iter().filter(|(_, r)| r.stage == Stage::Streaming);
+                out.extend(streams.map(|(&id, _)| Action::Move(id)));
+            }
+            Event::Place { .. } | Event::Ending => {}
             Event::Timer(_) => self.wake_at = None,
         }
     }
@@ -434,9 +438,8 @@
             self.start(now, key.1, reader, writer, out);
         }
         let low_reads = |r: &Request| r.from_low && matches!(r.stage, Stage::Reading | Stage::Writing);
-        if self.high.is_empty()
-            && now >= self.low_next
-            && !self.requests.values().any(low_reads)
+        let idle = self.high.is_empty() && now >= self.low_next && !self.requests.values().any(low_reads);
+        if idle
             && let Some(&key) = self.low.first()
             && let Some((reader, writer)) = self.pair(now, key.1, false)
         {
@@ -448,9 +451,8 @@
 
     /// The low tier's sends are four times as far apart after one that came late, and half after one in time.
     fn low_went(&mut self, well: bool) {
-        let (gap, routers) =
-            (self.all.low_gap * if well { 0.5 } else { 4.0 }, f64::from(self.set.routers.max(1)));
-        self.all.low_gap = gap.clamp(LOW_GAP_LEAST * routers, LOW_GAP_MOST * routers);
+        let gap = self.all.low_gap / f64::from(self.set.routers.max(1)) * if well { 0.5 } else { 4.0 };
+        self.all.low_gap = gap.clamp(LOW_GAP_LEAST, LOW_GAP_MOST) * f64::from(self.set.routers.max(1));
     }
 
     /// Admits a request: the writer counts it from now on, and its prompt is read.
@@ -992,15 +994,13 @@
 
     /// Asks the writers how much others hold there, while there is anything to decide.
     fn probe(&mut self, now: Micros, out: &mut Vec<Action>) {
-        let few = (2..=FEW_ROUTERS).contains(&self.set.routers);
-        if !few || !self.set.limits.probes || self.requests.is_empty() {
-            return;
-        }
+        let asks = (2..=FEW_ROUTERS).contains(&self.set.routers) && self.set.limits.probes;
         let waiting = !self.high.is_empty() || !self.low.is_empty();
         self.pressed_at = if waiting { now } else { self.pressed_at };
         let pressed = now < self.pressed_at.saturating_add(PRESSED);
         let every = if pressed { PROBE_EVERY } else { PROBE_CALM } as f64;
-        for host in self.hosts.values_mut().filter(|h| h.role != Role::Read && h.phase == Phase::Serving) {
+        let asked = |h: &&mut Host| asks && h.role != Role::Read && h.phase == Phase::Serving;
+        for host in self.hosts.values_mut().filter(asked).filter(|_| !self.requests.is_empty()) {
             let gap = every * (0.75 + 0.5 * chance(host.id.0, host.probed_at as u64 ^ self.salt));
             if now >= host.probed_at.saturating_add(gap as Micros) {
                 host.probed_at = now;
--- a/src/main.rs
+++ b/src/main.rs
@@ -24,7 +24,7 @@
 use croftsill::node::planner::Planner;
 use croftsill::node::pool::{Pool, Site};
 use croftsill::node::readiness::{Happening, Readiness};
-use croftsill::node::shutdown::Shutdown;
+use croftsill::node::shutdown::{STILL_STREAMING, Shutdown};
 use croftsill::node::succession::{self, Estate, Inherited, Partners};
 use croftsill::node::{Clock, Core, reload, tend_fleet};
 use tokio::net::{TcpListener, TcpSocket};
@@ -126,6 +126,15 @@
         tracing::info!("ready, {}", if in_time { "with discovery's list" } else { "discovery is silent" });
         noted.note(Happening::CanServe);
     });
+    let (planner, ending) = (core.planner.clone(), shutdown.clone());
+    spawn_local(async move {
+        ending.once(Readiness::ending).await;
+        tokio::time::sleep(STILL_STREAMING).await;
+        // A newer process serves at the same address until the very end and after it.
+        if ending.readiness().accepts() {
+            planner.ending();
+        }
+    });
     let intake = Intake::new(config.intake, config.body_bytes, counters.clone());
     let front = PlatformFront::new(core, config.names, intake.clone(), shutdown.clone());
     let partners = Partners::default();
--- a/src/node/planner.rs
+++ b/src/node/planner.rs
@@ -94,6 +94,11 @@
         self.put(Input::Tell(Event::Probed { host, outcome, load }));
     }
 
+    /// Tells that the process ends soon.
+    pub fn ending(&self) {
+        self.put(Input::Tell(Event::Ending));
+    }
+
     /// Waits until all that was told before is decided on, and gives what is known then of all hosts.
     pub async fn settled(&self) -> Learnt {
         let (mark, reached) = oneshot::channel();
--- a/src/node/shutdown.rs
+++ b/src/node/shutdown.rs
@@ -11,6 +11,9 @@
 
 /// For so long after SIGTERM clients may still open connections.
 pub const STILL_ARRIVING: Duration = Duration::from_millis(1_000);
+/// For so long after SIGTERM streams run on; SIGKILL comes after 3.7 s at the soonest, and their clients need the time
+/// between to find another conductor.
+pub const STILL_STREAMING: Duration = Duration::from_millis(2_300);
 
 /// Holds where the process stands, and counts what must be finished before it ends.
 #[derive(Clone)]
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -508,3 +508,22 @@
     let (before, after) = (sent_to_cold(4 * S, false), sent_to_cold(4 * S, true));
     assert!(before > 5 && after * 10 >= before * 7, "{before} by the old router, {after} by the new one");
 }
+
+/// A router of so many, whose clients come again for the rest or not, with one request that streams and one that is read.
+fn told_of_the_end(routers: u32, resume: bool) -> Vec<Action> {
+    let limits = Limits { resume, ..settings().limits };
+    let mut rig =
+        Rig::new(Settings { routers, limits, ..settings() }, &[member(READER, 0), member(WRITER, 1)]);
+    rig.request(1);
+    rig.end(1, READER, Outcome::Read);
+    rig.step(0, &[began(1, WRITER)]);
+    rig.request(2);
+    rig.step(MS, &[Event::Ending])
+}
+
+#[test]
+fn what_streams_near_the_end_is_moved_where_its_client_finds_the_rest() {
+    assert_eq!(told_of_the_end(2, true), [Action::Move(RequestId(1))]);
+    assert!(told_of_the_end(2, false).is_empty(), "nobody comes for the rest");
+    assert!(told_of_the_end(1, true).is_empty(), "there is no other conductor");
+}
