--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -259,6 +259,29 @@
     older.end();
 }
 
+#[test]
+fn the_older_told_to_end_early_or_late_loses_nothing() {
+    for late in [false, true] {
+        let fleet = Fleet::start();
+        let mut older = fleet.process(8_082);
+        fleet.serves(8_082);
+        let (stop, clients) = fleet.load();
+        let mut newer = fleet.process(8_083);
+        // Early: before anybody has heard the newer one's yes.
+        if late {
+            fleet.serves(8_083);
+            older.logs("readiness: handing over");
+        }
+        older.signal("TERM");
+        older.ended(true);
+        fleet.serves(8_083);
+        newer.logs("the older process is gone");
+        stop.store(true, Ordering::Relaxed);
+        all_answered(clients);
+        newer.end();
+    }
+}
+
 #[test]
 fn what_operators_say_to_either_process_reaches_the_other() {
     let fleet = Fleet::start();
