Group the node's modules by concern: process, upstream, list, fronts

Change: process (its own life), upstream (ways to instances), list (the fleet's list); the words for a broken stream moved to events, which no longer knows relay. Behaviour is unchanged. Checked: fmt, clippy, all tests; nothing but paths differs in the diff of the moved files.

--- a/src/node/front/chat.rs
+++ b/src/node/front/chat.rs
@@ -20,11 +20,11 @@
 use super::{Pieces, Reply, begin};
 use crate::api::*;
 use crate::node::Core;
-use crate::node::attempt::Payload;
-use crate::node::config::Chat;
 use crate::node::counters::add;
+use crate::node::process::config::Chat;
+use crate::node::process::shutdown::Shutdown;
 use crate::node::request::Answer;
-use crate::node::shutdown::Shutdown;
+use crate::node::upstream::attempt::Payload;
 
 /// Tells clients whether to try again by themselves.
 const SHOULD_RETRY: HeaderName = HeaderName::from_static("x-should-retry");
--- a/src/node/front/mod.rs
+++ b/src/node/front/mod.rs
@@ -29,12 +29,12 @@
 use tower::{Service, ServiceExt};
 
 use super::Core;
-use super::attempt::Payload;
-use super::readiness::Readiness;
-use super::relay::{Piece, StreamBroken};
 use super::request::{Answer, Caller, live};
-use super::shutdown::{Pending, STILL_ARRIVING, Shutdown};
 use crate::api::NewRequest;
+use crate::node::process::readiness::Readiness;
+use crate::node::process::shutdown::{Pending, STILL_ARRIVING, Shutdown};
+use crate::node::upstream::attempt::Payload;
+use crate::node::upstream::events::{Piece, StreamBroken};
 use intake::{BUFFER, BodyRoom, Framed, Intake, Line, Place, Stream};
 use spiffe::{Identities, Peer};
 
--- a/src/node/front/operator.rs
+++ b/src/node/front/operator.rs
@@ -21,12 +21,12 @@
 use tokio::time::{sleep, timeout};
 
 use crate::node::counters::add;
-use crate::node::fleet::Fleet;
-use crate::node::handover::Message;
-use crate::node::membership::UnknownId;
-use crate::node::readiness::Happening;
-use crate::node::shutdown::Shutdown;
-use crate::node::succession::Partners;
+use crate::node::list::fleet::Fleet;
+use crate::node::list::membership::UnknownId;
+use crate::node::process::handover::Message;
+use crate::node::process::readiness::Happening;
+use crate::node::process::shutdown::Shutdown;
+use crate::node::process::succession::Partners;
 
 /// Callers served at once. Their descriptors are kept free in the configuration's budgets.
 pub const SLOTS: usize = 12;
--- a/src/node/front/platform.rs
+++ b/src/node/front/platform.rs
@@ -19,10 +19,10 @@
 use super::{Pieces, Reply, begin};
 use crate::api::*;
 use crate::node::Core;
-use crate::node::attempt::Payload;
 use crate::node::counters::add;
+use crate::node::process::shutdown::Shutdown;
 use crate::node::request::Answer;
-use crate::node::shutdown::Shutdown;
+use crate::node::upstream::attempt::Payload;
 use crate::wire::Names;
 
 /// Ids remembered after their requests have ended, to turn repeats down.
--- a/src/node/discovery.rs
+++ b/src/node/list/discovery.rs
@@ -15,9 +15,9 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use super::backoff::Backoff;
-use super::counters::add;
 use super::fleet::Fleet;
 use super::membership::Targets;
+use crate::node::counters::add;
 
 /// Silence after which a watch is given up: an empty line is due every 2 s. What it should have told counts as told
 /// 6 s later, so a new watch must be there well before.
--- a/src/node/fleet.rs
+++ b/src/node/list/fleet.rs
@@ -6,11 +6,11 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::counters::add;
 use super::membership::{Membership, State, Target, Targets, UnknownId};
-use super::pool::Site;
-use super::{Clock, Core};
 use crate::api::*;
+use crate::node::counters::add;
+use crate::node::upstream::pool::Site;
+use crate::node::{Clock, Core};
 use crate::wire::Names;
 
 /// Keeps who may be sent work, and tells planner and pool of each change at once.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,28 +1,16 @@
 //! The real conductor: fronts take requests in, one task lives each request, planners decide.
 //!
 //! A request passes through the modules in this order: a [`front`] reads and checks it, its task in
-//! [`request`] asks a [`planner`] what to do, [`attempt`] plays one exchange with an instance over a
-//! connection of the [`pool`], [`relay`] passes the stream's [`events`] on, and [`release`] lets go of what is held.
+//! [`request`] asks a [`planner`] what to do, and [`upstream`] plays its exchanges with instances. Beside that stand
+//! the fleet's [`list`] and the life of the [`process`] itself.
 
-pub mod attempt;
-pub mod backoff;
-pub mod config;
 pub mod counters;
-pub mod discovery;
-pub mod events;
-pub mod fleet;
 pub mod front;
-pub mod handover;
-pub mod membership;
+pub mod list;
 pub mod planner;
-pub mod pool;
-pub mod readiness;
-pub mod relay;
-pub mod release;
-pub mod reload;
+pub mod process;
 pub mod request;
-pub mod shutdown;
-pub mod succession;
+pub mod upstream;
 
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -72,7 +60,7 @@
     /// Decides.
     pub planner: planner::Planner,
     /// Talks to the instances.
-    pub upstream: Rc<attempt::Upstream>,
+    pub upstream: Rc<upstream::attempt::Upstream>,
     /// Counts.
     pub counters: Rc<counters::Counters>,
 }
--- a/src/node/config.rs
+++ b/src/node/process/config.rs
@@ -9,10 +9,10 @@
 use serde::Deserialize;
 use serde_json::Value;
 
-use super::front::spiffe::{Identities, Tls};
-use super::membership::Targets;
-use super::pool::PoolLimits;
 use crate::api::{Class, ClassId, Effect, Kind, Micros, Role, Settings};
+use crate::node::front::spiffe::{Identities, Tls};
+use crate::node::list::membership::Targets;
+use crate::node::upstream::pool::PoolLimits;
 use crate::wire::{Names, settings_from};
 
 /// Why a configuration cannot be used; one plain line each.
@@ -97,7 +97,7 @@
 }
 
 /// Descriptors for what is not clients or instances: operators, an upgrade, discovery, listeners, log and runtime.
-const OWN_SOCKETS: usize = super::front::operator::SLOTS + 24;
+const OWN_SOCKETS: usize = crate::node::front::operator::SLOTS + 24;
 
 fn connect_default() -> f64 {
     250.0
--- a/src/node/handover.rs
+++ b/src/node/process/handover.rs
@@ -9,10 +9,10 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::membership::Membership;
 use super::readiness::Happening;
 use crate::api::{Micros, Settings};
 use crate::logic::Learnt;
+use crate::node::list::membership::Membership;
 
 /// Of what is told. Another version is another way of speaking; nothing is handed over between two of them.
 pub const VERSION: u32 = 1;
@@ -259,7 +259,7 @@
     /// the newer one's exactly while it serves.
     #[test]
     fn random_orders_leave_the_clients_with_one_process() {
-        use crate::node::readiness::Readiness;
+        use crate::node::process::readiness::Readiness;
         let mut draw = 3u64;
         for _ in 0..2_000 {
             let (mut h, effects) = Handover::begin(Side::Older, 0);
--- a/src/node/reload.rs
+++ b/src/node/process/reload.rs
@@ -7,7 +7,7 @@
 use tokio::sync::watch;
 
 use super::config::Platform;
-use super::counters::{Counters, add};
+use crate::node::counters::{Counters, add};
 
 /// SIGHUP from now on: it no longer ends the process, even before anybody listens.
 pub fn hangups() -> std::io::Result<Signal> {
--- a/src/node/succession.rs
+++ b/src/node/process/succession.rs
@@ -20,13 +20,13 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
 
-use super::counters::add;
-use super::fleet::Fleet;
-use super::front::intake::Intake;
 use super::handover::{Effect, Handover, Hello, Message, Side, State};
 use super::readiness::Happening;
 use super::shutdown::Shutdown;
-use super::{Clock, span};
+use crate::node::counters::add;
+use crate::node::front::intake::Intake;
+use crate::node::list::fleet::Fleet;
+use crate::node::{Clock, span};
 
 /// For the other process to answer, before the newer starts on its own or the older hears the next.
 const ANSWER: Duration = Duration::from_secs(1);
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -7,14 +7,14 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep_until, timeout};
 
-use super::attempt::{First, Payload};
 use super::counters::add;
-use super::events::Form;
 use super::planner::{End, Order, Seat};
-use super::relay::{self, Passed, Piece, StreamBroken};
-use super::release::release;
 use super::{Core, span};
 use crate::api::{AttemptId, HostId, Load, Micros, NewRequest, Outcome};
+use crate::node::upstream::attempt::{First, Payload};
+use crate::node::upstream::events::{Form, Piece, StreamBroken};
+use crate::node::upstream::relay::{self, Passed};
+use crate::node::upstream::release::release;
 
 /// Past the deadline, after which a request without a decision is answered as failed. The rules allow more.
 const OVERDUE: Duration = Duration::from_millis(15);
--- a/src/node/attempt.rs
+++ b/src/node/upstream/attempt.rs
@@ -10,10 +10,10 @@
 use serde::Deserialize;
 use tokio::time::{Instant, timeout, timeout_at};
 
-use super::counters::{Counters, add};
 use super::events::Events;
 use super::pool::{Pool, WriteMark};
 use crate::api::{HostId, Load, Micros, Outcome, Role};
+use crate::node::counters::{Counters, add};
 
 /// Most of an answer without a stream that is read.
 const ANSWER_MOST: usize = 256 * 1024;
--- a/src/node/events.rs
+++ b/src/node/upstream/events.rs
@@ -14,9 +14,22 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::pool::{Connection, Pool};
-use super::relay::StreamBroken;
 use crate::api::{HostId, Outcome};
 
+/// The stream ended before it was whole; the client's connection must show it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum StreamBroken {
+    /// It was cut off, or went silent.
+    #[error("the stream was cut off")]
+    Cut,
+    /// It went on with what is no event stream.
+    #[error("the stream was spoilt")]
+    Spoilt,
+}
+
+/// A piece of a stream, or that it broke.
+pub type Piece = Result<Bytes, StreamBroken>;
+
 /// Time without an event after which a running stream is taken for dead. Clients are not to wait 5 s for nothing.
 const SILENCE: Duration = Duration::from_millis(4_300);
 /// Longest event; one that does not end is not an event.
--- /dev/null
+++ b/src/node/upstream/mod.rs
@@ -0,0 +1,8 @@
+//! Ways to instances: [`attempt`] plays one exchange over a connection of the [`pool`], [`relay`] passes the stream's
+//! [`events`] on, [`release`] lets go of what is held.
+
+pub mod attempt;
+pub mod events;
+pub mod pool;
+pub mod relay;
+pub mod release;
--- a/src/node/pool.rs
+++ b/src/node/upstream/pool.rs
@@ -21,9 +21,9 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
 
-use super::counters::{Counters, add};
-use super::front::intake::shared;
 use crate::api::{HostId, Role};
+use crate::node::counters::{Counters, add};
+use crate::node::front::intake::shared;
 
 /// Longest that a connection stands idle before it is closed, whatever the settings say: machines have been seen to
 /// close theirs after 4 s where the settings say 30, and a request that crosses the close ends as a reset.
--- a/src/node/relay.rs
+++ b/src/node/upstream/relay.rs
@@ -1,27 +1,12 @@
 //! Passing a stream on, event by event, as the bytes that came.
 
-use bytes::Bytes;
 use tokio::sync::mpsc;
 
-use super::events::Events;
+use super::events::{Events, Piece, StreamBroken};
 
 /// Pieces of a stream that wait for a slow reader; past them the instance's connection is read no further.
 pub const WAITING: usize = 4;
 
-/// The stream ended before it was whole; the client's connection must show it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum StreamBroken {
-    /// It was cut off, or went silent.
-    #[error("the stream was cut off")]
-    Cut,
-    /// It went on with what is no event stream.
-    #[error("the stream was spoilt")]
-    Spoilt,
-}
-
-/// A piece of a stream, or that it broke.
-pub type Piece = Result<Bytes, StreamBroken>;
-
 /// How passing on ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Passed {
--- a/src/node/release.rs
+++ b/src/node/upstream/release.rs
@@ -7,7 +7,7 @@
 use tokio::time::timeout;
 
 use super::attempt::Upstream;
-use super::counters::add;
+use crate::node::counters::add;
 
 /// For an instance to take the call, before another one is asked beside it. The module has used most of the pin limit
 /// when it asks, so silent instances must not use up the rest one after the other.
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -3,8 +3,8 @@
 mod player;
 
 use croftsill::api::{HostId, Role};
-use croftsill::node::config::{Chat, Platform};
-use croftsill::node::pool::{Pool, Site};
+use croftsill::node::process::config::{Chat, Platform};
+use croftsill::node::upstream::pool::{Pool, Site};
 
 #[test]
 fn both_fronts_together_stay_under_the_limit_on_sockets() {
