--- a/src/api.rs
+++ b/src/api.rs
@@ -334,6 +334,8 @@
     },
     /// The process ends soon, and what streams then is cut off.
     Ending,
+    /// Requests that come from now on are decided by these settings. Kinds, classes and tenants are the same ones.
+    Policy(std::rc::Rc<Settings>),
     /// A timer ran out.
     Timer(u64),
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 struct Readme;
 
 pub mod api;
+pub mod control;
 pub mod logic;
 pub mod node;
 pub mod wire;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -11,6 +11,7 @@
 //! kind of host. L counts all streams: the own, and others' by the memory that reports show held.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -233,6 +234,8 @@
 #[derive(Default)]
 struct Request {
     ask: NewRequest,
+    /// Decided by these to its end, whatever others come meanwhile.
+    by: Rc<Settings>,
     aim_at: Micros,
     deadline: Micros,
     /// Guessed answer length, the same with its prompt, and the wanted pace.
@@ -278,7 +281,7 @@
 /// One router's decisions.
 #[derive(Default)]
 pub struct Router {
-    set: Settings,
+    set: Rc<Settings>,
     /// What is known of all hosts; a new router of the same settings may be given an older one's.
     pub all: Learnt,
     hosts: BTreeMap<HostId, Host>,
@@ -303,7 +306,7 @@
             first_took: Fading { value: FIRST_TOOK, at: Micros::MIN / 2 },
             ..Learnt::default()
         };
-        Router { salt: seed, set: settings, all, ..Router::default() }
+        Router { salt: seed, set: Rc::new(settings), all, ..Router::default() }
     }
 
     /// Takes in what happened and says what to do, in order.
@@ -342,6 +345,7 @@
                 out.extend(streams.map(|(&id, _)| Action::Move(id)));
             }
             Event::Place { .. } | Event::Ending => {}
+            Event::Policy(settings) => self.set = settings.clone(),
             Event::Timer(_) => self.wake_at = None,
         }
     }
@@ -361,6 +365,7 @@
         self.all.footprint += gain * (ask.prompt_tokens + tokens - self.all.footprint);
         let request = Request {
             ask: ask.clone(),
+            by: self.set.clone(),
             aim_at,
             deadline: now.saturating_add(ask.time_left),
             tokens,
@@ -527,7 +532,7 @@
     /// Reader and writer for a held request, if any pass.
     fn pair(&self, now: Micros, id: RequestId, tested: bool) -> Option<(Option<HostId>, HostId)> {
         let r = self.requests.get(&id)?;
-        let may_read = r.sent + 2 <= self.set.limits.max_attempts;
+        let may_read = r.sent + 2 <= r.by.limits.max_attempts;
         let rules = &self.set.rules;
         let takes = |h: &Host| h.takes(now, &r.ask, rules) && !h.spared(now, &r.ask, 1.0, rules);
         let homes = self.homes(now, r, |h| may_read && takes(h));
@@ -576,7 +581,7 @@
         let near = |h: &Host, from: &Host| if from.zone == h.zone { 1.0 } else { FAR_WEIGHT };
         let place = |h: &Host, from: &Host| if from.cell == h.cell { 1.0 } else { h.spare * near(h, from) };
         let takes = |h: &Host| h.takes(now, &r.ask, &self.set.rules) && self.may_run_at(now, r, h.id);
-        let once = self.set.classes[r.ask.class.0].effect == Effect::Unsafe;
+        let once = r.by.classes[r.ask.class.0].effect == Effect::Unsafe;
         let fits = |h: &&Host| h.role != Role::Read && takes(h) && wanted(h);
         let drawn = |h: &Host| {
             let room = self.room(now, r, h, ready_in, tested)?;
@@ -627,7 +632,7 @@
             let r = &self.requests[&id];
             let held_for = (now - r.ready_since) as f64 / self.set.rules.pin_limit.max(1) as f64;
             let late = held_for >= READY_MOST || now >= r.deadline - ANSWER_MARGIN;
-            let spent = late || r.sent >= self.set.limits.max_attempts;
+            let spent = late || r.sent >= r.by.limits.max_attempts;
             if let Some(writer) = self.writer_for_state(now, r, held_for).filter(|_| !spent) {
                 self.place(id, writer);
                 self.send_write(now, id, writer, out);
@@ -881,12 +886,12 @@
         if r.sent > 0 {
             out.push(Action::Release(id));
         }
-        let class = &self.set.classes[r.ask.class.0];
-        let repeats = matches!(class.effect, Effect::Safe | Effect::Keyed(Group::All, _));
+        let effect = r.by.classes[r.ask.class.0].effect;
+        let repeats = matches!(effect, Effect::Safe | Effect::Keyed(Group::All, _));
         let harmless = repeats || r.may_have_run.is_none();
         out.push(if harmless {
             let share = 1.0 - COME_BACK * chance(id.0 as u32, self.salt);
-            let come_back = self.set.limits.come_back.map(|most| (most as f64 * share) as Micros);
+            let come_back = r.by.limits.come_back.map(|most| (most as f64 * share) as Micros);
             Action::Refuse { request: id, come_back }
         } else {
             Action::Fail(id)
@@ -897,7 +902,7 @@
     /// Rule 2: whether an attempt at this writer could not repeat an effect.
     fn may_run_at(&self, now: Micros, r: &Request, at: HostId) -> bool {
         let Some((ran_at, since)) = r.may_have_run else { return true };
-        let group = match self.set.classes[r.ask.class.0].effect {
+        let group = match r.by.classes[r.ask.class.0].effect {
             Effect::Safe => return true,
             Effect::Keyed(group, window) if now < since + window => group,
             _ => return false,
@@ -910,7 +915,7 @@
         let Some(r) = self.requests.get(&id) else { return true };
         let needed = if r.reader.is_some() { 1 } else { 2 };
         let writers = || self.hosts.iter().filter(|(_, h)| h.role != Role::Read);
-        r.sent + needed <= self.set.limits.max_attempts
+        r.sent + needed <= r.by.limits.max_attempts
             && (r.may_have_run.is_none() || writers().any(|(&w, _)| self.may_run_at(now, r, w)))
     }
 
