Decide each request by the policy it came with, to its end

Need: a policy change must not touch what is under way. Checked: a test in which the older request goes on and the newer one has had its two attempts; it fails when the module's own settings decide.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,14 +1,13 @@
 //! Every decision of the router. The interface (settings, events, actions) is `src/api.rs`.
 //!
-//! The mechanism, after SABER's online phase. A request arrives into the high tier, kept by the time at which
-//! its first token is wanted. Whenever something happens, and at each tick while any is held, one of the
-//! first few is drawn at random and tested: would the writer's speed curve at L+1 streams still keep its
-//! token pace and that of every stream there, has the writer memory for it, and can its first token come in
-//! time? If so the prompt goes to its reader, found by hash of the shared beginning. Else it waits unread.
-//! What cannot start in time drops to the low tier, sent untested while the high tier is empty and given up
-//! on, at once, when the client's deadline is out of reach. After the read the test is made again. The curve
-//! is the Universal Scalability Law in inverse form, pace = a + b(L-1) + c L(L-1), fitted online for each
-//! kind of host. L counts all streams: the own, and others' by the memory that reports show held.
+//! The mechanism, after SABER's online phase. A request arrives into the high tier, kept by the time at which its first
+//! token is wanted. Whenever something happens, and at each tick while any is held, one of the first few is drawn at
+//! random and tested: would the writer's speed curve at L+1 streams still keep its token pace and that of every stream
+//! there, has the writer memory for it, and can its first token come in time? If so the prompt goes to its reader, found
+//! by hash of the shared beginning. Else it waits unread. What cannot start in time drops to the low tier, sent untested
+//! while the high tier is empty and given up on, at once, when the client's deadline is out of reach. After the read the
+//! test is made again. The curve is the Universal Scalability Law in inverse form, pace = a + b(L-1) + c L(L-1), fitted
+//! online for each kind of host. L counts all streams: the own, and others' by the memory that reports show held.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -234,8 +233,7 @@
 #[derive(Default)]
 struct Request {
     ask: NewRequest,
-    /// Decided by these to its end, whatever others come meanwhile.
-    by: Rc<Settings>,
+    by: Rc<Settings>, // whatever others come meanwhile
     aim_at: Micros,
     deadline: Micros,
     /// Guessed answer length, the same with its prompt, and the wanted pace.
@@ -600,8 +598,7 @@
 
     /// Tokens of a prompt that this router knows to be kept at a host.
     fn known_at(host: &Host, r: &Request) -> f64 {
-        let kept =
-            |key: Option<TextKey>, most| key.and_then(|k| host.kept.get(&k)).map_or(0.0, |n| n.min(most));
+        let kept = |key: Option<TextKey>, m| key.and_then(|k| host.kept.get(&k)).map_or(0.0, |n| n.min(m));
         kept(r.ask.prefix, r.ask.prefix_tokens).max(kept(r.ask.session, r.ask.prompt_tokens))
     }
 
@@ -819,8 +816,7 @@
     }
 
     fn come_last(&mut self, now: Micros, at: HostId) {
-        let until = now + LAST_EACH * Micros::from(self.set.routers);
-        self.hosts.entry(at).and_modify(|h| h.last_until = until);
+        self.hosts.entry(at).and_modify(|h| h.last_until = now + LAST_EACH * Micros::from(self.set.routers));
     }
 
     /// Whether a host comes after all others: it failed lately, or leaves a probe without an answer.
@@ -886,10 +882,9 @@
         if r.sent > 0 {
             out.push(Action::Release(id));
         }
-        let effect = r.by.classes[r.ask.class.0].effect;
-        let repeats = matches!(effect, Effect::Safe | Effect::Keyed(Group::All, _));
-        let harmless = repeats || r.may_have_run.is_none();
-        out.push(if harmless {
+        let repeats =
+            matches!(r.by.classes[r.ask.class.0].effect, Effect::Safe | Effect::Keyed(Group::All, _));
+        out.push(if repeats || r.may_have_run.is_none() {
             let share = 1.0 - COME_BACK * chance(id.0 as u32, self.salt);
             let come_back = r.by.limits.come_back.map(|most| (most as f64 * share) as Micros);
             Action::Refuse { request: id, come_back }
--- a/tests/policy_model.rs
+++ b/tests/policy_model.rs
@@ -5,12 +5,12 @@
 use std::collections::BTreeSet;
 
 use croftsill::api::Micros;
+use croftsill::control::AUTHORITY;
 use croftsill::control::coordinator::Coordinator;
 use croftsill::control::gate::{Closed, Gate, Take};
 use croftsill::control::policy::Silence;
 use croftsill::control::report::{Grant, Report};
 use croftsill::control::state::{Agreed, ChangeId, Command, Evidence, Peer, Phase, Revision, Session};
-use croftsill::control::AUTHORITY;
 use stateright::{Checker, Model, Property};
 
 /// Time passes in steps of this: a lease is three of them, the wait for a silent session too.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -260,3 +260,20 @@
     }
     assert!(sends.len() >= 50, "{} in all: too few while others have all the rest", sends.len());
 }
+
+/// A policy change: what is under way keeps the attempts and the come-back time that it came with.
+#[test]
+fn a_request_is_decided_under_the_policy_it_came_with_to_its_end() {
+    let mut rig = Rig::new(settings(), &[member(READER, 0), member(WRITER, 1), member(11, 1)]);
+    let writer = |actions: Vec<Action>| sent_to(&actions).expect("a writer");
+    rig.request(1);
+    let first = writer(rig.end(1, READER, Outcome::Read));
+    let mut one_try = settings();
+    one_try.limits.max_attempts = 2;
+    rig.step(0, &[Event::Policy(std::rc::Rc::new(one_try))]);
+    assert!(sent_to(&rig.end(1, first, Outcome::Full)).is_some(), "the older request may go on");
+    rig.request(2);
+    let first = writer(rig.end(2, READER, Outcome::Read));
+    let after = rig.end(2, first, Outcome::Full);
+    assert_eq!((sent_to(&after), finals(&after)), (None, 1), "the newer one has had its two attempts");
+}
