--- /dev/null
+++ b/rig/src/check.rs
@@ -0,0 +1,258 @@
+//! Checkers: what a history must show, whatever was broken meanwhile. Each says all that it finds.
+
+use std::collections::BTreeMap;
+
+use crate::Micros;
+use crate::load::{Asked, Outcome};
+use crate::stand_ins::{Attempt, Role, Seen};
+
+/// What an operator was told of a change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Told {
+    /// It is in force as this revision.
+    Applied(u64),
+    /// It is not and will not be.
+    TurnedDown,
+    /// Neither is known.
+    Unknown,
+}
+
+/// A change as its proposer saw it.
+#[derive(Clone, Debug)]
+pub struct Change {
+    /// Its number, where one was told.
+    pub id: Option<String>,
+    /// When it was proposed.
+    pub proposed: Micros,
+    /// When the last word of it came.
+    pub ended: Micros,
+    /// That word.
+    pub told: Told,
+    /// The document could not be taken by all.
+    pub bad: bool,
+}
+
+/// Where a conductor stands at the end.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Stand {
+    /// Its name.
+    pub name: String,
+    /// The revision in force there.
+    pub revision: u64,
+    /// The digest of its document.
+    pub digest: Option<String>,
+    /// Ended changes by number, as it tells them: the revision of those that were applied.
+    pub history: BTreeMap<String, Option<u64>>,
+}
+
+/// For each change there is one moment: no request that was sent after an answer by a newer revision was seen is decided by
+/// an older one. Whatever lies between sending and answer may count as the moment of intake, so nothing is called broken
+/// that need not be.
+pub fn one_moment(asked: &[Asked]) -> Vec<String> {
+    let mut first_answer: BTreeMap<u64, (Micros, &str)> = BTreeMap::new();
+    for a in asked {
+        if let (Some(revision), Some(answered)) = (a.revision, a.answered) {
+            let first = first_answer.entry(revision).or_insert((answered, &a.id));
+            if answered < first.0 {
+                *first = (answered, &a.id);
+            }
+        }
+    }
+    let mut found = Vec::new();
+    for a in asked {
+        let Some(revision) = a.revision else { continue };
+        let newer = first_answer.range(revision + 1..).map(|(r, seen)| (seen.0, *r, seen.1)).min();
+        if let Some((seen, newer, by)) = newer.filter(|(seen, ..)| *seen < a.sent) {
+            found.push(format!(
+                "{} was sent {} us after {by} had been answered under revision {newer}, and was decided under {revision}",
+                a.id,
+                a.sent - seen
+            ));
+        }
+    }
+    found
+}
+
+/// What operators were told holds: applied is in force or was at every conductor, turned down at none; the same number
+/// ended the same way everywhere; nobody has another document under the same revision.
+pub fn told_truly(changes: &[Change], stands: &[Stand]) -> Vec<String> {
+    let mut found = Vec::new();
+    for stand in stands {
+        for change in changes {
+            let Some(id) = &change.id else { continue };
+            let seen = stand.history.get(id);
+            match (&change.told, seen) {
+                (Told::Applied(revision), Some(Some(seen))) if revision == seen => {}
+                (Told::Applied(revision), seen) => {
+                    found.push(format!(
+                        "change {id} was told as applied ({revision}); {} has {seen:?}",
+                        stand.name
+                    ));
+                }
+                (Told::TurnedDown, Some(Some(seen))) => {
+                    found.push(format!(
+                        "change {id} was told as turned down; {} applied it as {seen}",
+                        stand.name
+                    ));
+                }
+                _ => {}
+            }
+            if change.bad && seen.is_some_and(Option::is_some) {
+                found.push(format!("change {id} was bad, and {} applied it", stand.name));
+            }
+        }
+    }
+    for pair in stands.windows(2) {
+        if (pair[0].revision, &pair[0].digest) != (pair[1].revision, &pair[1].digest) {
+            found.push(format!("two conductors end apart: {:?} and {:?}", short(&pair[0]), short(&pair[1])));
+        }
+        for (id, ended) in &pair[0].history {
+            if pair[1].history.get(id).is_some_and(|other| other != ended) {
+                found.push(format!("change {id} ended in two ways at {} and {}", pair[0].name, pair[1].name));
+            }
+        }
+    }
+    found
+}
+
+fn short(stand: &Stand) -> (&str, u64, Option<&str>) {
+    (&stand.name, stand.revision, stand.digest.as_deref())
+}
+
+/// One final answer: a connection that was taken never ends without one, unless its conductor was killed.
+pub fn answered(asked: &[Asked], killed: &dyn Fn(&Asked) -> bool) -> Vec<String> {
+    let lost = asked.iter().filter(|a| matches!(a.outcome, Outcome::Lost | Outcome::Broken) && !killed(a));
+    lost.map(|a| format!("{} at conductor {} has no whole answer: {:?}", a.id, a.at, a.outcome)).collect()
+}
+
+/// Every refusal says when to come back.
+pub fn come_back_told(asked: &[Asked]) -> Vec<String> {
+    let silent = asked.iter().filter(|a| a.outcome == Outcome::Refused && !a.come_back);
+    silent.map(|a| format!("{} was refused with no word of when to come back", a.id)).collect()
+}
+
+/// By the stand-ins' own count: no unsafe request runs twice, no request has two attempts out at once or more than four.
+pub fn attempts_kept(asked: &[Asked], attempts: &[Attempt]) -> Vec<String> {
+    let is_unsafe: BTreeMap<&str, bool> = asked.iter().map(|a| (a.id.as_str(), a.is_unsafe)).collect();
+    let mut by_id: BTreeMap<&str, Vec<&Attempt>> = BTreeMap::new();
+    attempts.iter().for_each(|attempt| by_id.entry(&attempt.id).or_default().push(attempt));
+    let mut found = Vec::new();
+    for (id, tries) in by_id {
+        let runs = tries.iter().filter(|t| t.role == Role::Write && t.ran).count();
+        if runs > 1 && is_unsafe.get(id).copied().unwrap_or(true) {
+            found.push(format!("{id} must not run twice, and ran {runs} times"));
+        }
+        if tries.len() > 4 {
+            found.push(format!("{id} had {} attempts", tries.len()));
+        }
+        // A conductor hears of an end a little after the instance has written it.
+        let overlap = |pair: &&[&Attempt]| pair[0].ended.is_none_or(|ended| ended > pair[1].begun + 2_000);
+        if tries.windows(2).any(|pair| overlap(&pair)) {
+            found.push(format!("{id} had two attempts out at once"));
+        }
+    }
+    found
+}
+
+/// Nothing is left pinned: no read state is held for longer than a second, with the slack of the rules.
+pub fn nothing_pinned(seen: &Seen, now: Micros, killed: bool) -> Vec<String> {
+    let most = 1_350_000;
+    let mut found = Vec::new();
+    if seen.longest_held > most {
+        found.push(format!("a read state was held for {} us with no attempt out", seen.longest_held));
+    }
+    // What a killed conductor left is freed by the instances' own time-out, which stand-ins do not have.
+    let left = seen.held.iter().filter(|(_, since)| !killed && now - **since > most).count();
+    if left > 0 {
+        found.push(format!("{left} read states are still held at the end"));
+    }
+    found
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn asked(id: &str, sent: Micros, answered: Micros, revision: u64) -> Asked {
+        Asked {
+            id: id.into(),
+            at: 0,
+            is_unsafe: true,
+            sent,
+            answered: Some(answered),
+            revision: Some(revision),
+            outcome: Outcome::Served,
+            come_back: false,
+        }
+    }
+
+    #[test]
+    fn an_old_revision_after_a_new_answer_is_found() {
+        let fine =
+            [asked("a", 0, 50, 1), asked("b", 10, 60, 2), asked("c", 55, 90, 1), asked("d", 61, 99, 2)];
+        assert_eq!(one_moment(&fine), Vec::<String>::new());
+        let broken = [asked("b", 10, 60, 2), asked("c", 61, 90, 1)];
+        assert_eq!(one_moment(&broken).len(), 1);
+    }
+
+    fn stand(name: &str, revision: u64, history: &[(&str, Option<u64>)]) -> Stand {
+        let history = history.iter().map(|(id, ended)| ((*id).to_owned(), *ended)).collect();
+        Stand { name: name.into(), revision, digest: Some(format!("d{revision}")), history }
+    }
+
+    fn change(id: &str, told: Told, bad: bool) -> Change {
+        Change { id: Some(id.into()), proposed: 0, ended: 0, told, bad }
+    }
+
+    #[test]
+    fn what_was_told_and_is_not_so_is_found() {
+        let one = stand("a", 1, &[("x", Some(1)), ("y", None)]);
+        let fine = [change("x", Told::Applied(1), false), change("y", Told::TurnedDown, true)];
+        assert_eq!(told_truly(&fine, &[one.clone(), one.clone()]), Vec::<String>::new());
+        assert_eq!(told_truly(&[change("x", Told::TurnedDown, false)], std::slice::from_ref(&one)).len(), 1);
+        assert_eq!(told_truly(&[change("y", Told::Applied(2), false)], std::slice::from_ref(&one)).len(), 1);
+        assert_eq!(told_truly(&[change("x", Told::Unknown, true)], std::slice::from_ref(&one)).len(), 1);
+        assert_eq!(told_truly(&[], &[one.clone(), stand("b", 2, &[])]).len(), 1);
+        assert_eq!(told_truly(&[], &[one, stand("b", 1, &[("x", None)])]).len(), 1);
+    }
+
+    fn attempt(at: &str, role: Role, begun: Micros, ended: Option<Micros>) -> Attempt {
+        Attempt { id: "a".into(), at: at.into(), role, begun, ended, ran: true }
+    }
+
+    #[test]
+    fn broken_rules_on_attempts_are_found() {
+        let all = [asked("a", 0, 9, 1)];
+        let read = attempt("r", Role::Read, 0, Some(5));
+        let fine = [read.clone(), attempt("w", Role::Write, 5, None)];
+        assert_eq!(attempts_kept(&all, &fine), Vec::<String>::new());
+        let twice = [read.clone(), attempt("w", Role::Write, 6, Some(8)), attempt("v", Role::Write, 9, None)];
+        assert_eq!(attempts_kept(&all, &twice).len(), 1);
+        let overlap = [attempt("r", Role::Read, 0, Some(9_000)), attempt("w", Role::Write, 5, None)];
+        assert_eq!(attempts_kept(&all, &overlap).len(), 1);
+        let many: Vec<_> = (0..5).map(|n| attempt("r", Role::Read, n * 10, Some(n * 10 + 5))).collect();
+        assert_eq!(attempts_kept(&all, &many).len(), 1);
+    }
+
+    #[test]
+    fn answers_that_are_missing_or_silent_are_found() {
+        let mut lost = asked("a", 0, 9, 1);
+        lost.outcome = Outcome::Lost;
+        assert_eq!(answered(&[lost.clone()], &|_| false).len(), 1);
+        assert_eq!(answered(&[lost], &|_| true).len(), 0);
+        let mut refused = asked("a", 0, 9, 1);
+        refused.outcome = Outcome::Refused;
+        assert_eq!(come_back_told(&[refused]).len(), 1);
+    }
+
+    #[test]
+    fn states_that_stay_held_are_found() {
+        let mut seen = Seen::default();
+        assert_eq!(nothing_pinned(&seen, 9_000_000, false).len(), 0);
+        seen.held.insert("a".into(), 0);
+        assert_eq!(nothing_pinned(&seen, 9_000_000, false).len(), 1);
+        assert_eq!(nothing_pinned(&seen, 9_000_000, true).len(), 0);
+        seen.longest_held = 2_000_000;
+        assert_eq!(nothing_pinned(&seen, 9_000_000, true).len(), 1);
+    }
+}
--- /dev/null
+++ b/rig/src/main.rs
@@ -0,0 +1,148 @@
+//! The rig's command line.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::{Parser, Subcommand};
+use rig::fleet::{Fleet, Size, document};
+use rig::load::{Load, Outcome};
+use rig::policy;
+
+/// Starts real conductors on loopback, breaks things between them, and checks what they promise.
+#[derive(Parser)]
+struct Line {
+    #[command(subcommand)]
+    command: Command,
+    /// The program; built first where none is named
+    #[arg(long, global = true)]
+    program: Option<PathBuf>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Three conductors, stand-in instances and load: a first look, under half a minute
+    Demo,
+    /// Policy changes under faults
+    Policy {
+        /// The first history's seed
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// How many seeds, from that one on
+        #[arg(long, default_value_t = 1)]
+        seeds: u64,
+        /// Faults in a history
+        #[arg(long, default_value_t = 12)]
+        steps: usize,
+    },
+}
+
+/// The program, built from this repository as it stands.
+fn build() -> std::io::Result<PathBuf> {
+    let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
+    let cargo = std::env::var_os("CARGO").unwrap_or("cargo".into());
+    let built = std::process::Command::new(cargo)
+        .args(["build", "--release", "--locked", "--bin", "croftsill"])
+        .current_dir(&root)
+        .status()?;
+    if !built.success() {
+        return Err(std::io::Error::other("the program does not build"));
+    }
+    let target = std::env::var_os("CARGO_TARGET_DIR").map_or(root.join("target"), PathBuf::from);
+    target.join("release/croftsill").canonicalize()
+}
+
+async fn demo(program: &std::path::Path) -> std::io::Result<bool> {
+    let size = Size { breakable: false, ..Size::default() };
+    let mut fleet = Fleet::new(program, &size, 1).await?;
+    println!("starting 3 conductors, 2 readers, 3 writers on loopback ...");
+    if !fleet.start().await? {
+        return Ok(false);
+    }
+    for conductor in &fleet.conductors {
+        println!(
+            "  {} takes clients at {}, operators at {}",
+            conductor.place.name, conductor.place.clients, conductor.place.operators
+        );
+    }
+    let targets = fleet.conductors.iter().map(|c| c.place.clients).collect();
+    let load = Load::begin(targets, 80.0, 1, fleet.clock);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    println!("3 s of load: {} requests ended", load.count());
+    let at = fleet.conductors[1].place.operators;
+    let change = policy::propose(at, &document(1, "serve"), false, Duration::from_secs(5), fleet.clock).await;
+    println!(
+        "a new policy, proposed at n01: {:?} after {} ms",
+        change.told,
+        (change.ended - change.proposed) / 1_000
+    );
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    fleet.kill(2).await;
+    println!("n02 is killed");
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let change = policy::propose(at, &document(2, "serve"), false, Duration::from_secs(5), fleet.clock).await;
+    println!("another policy: {:?} after {} ms", change.told, (change.ended - change.proposed) / 1_000);
+    fleet.restart(2).await?;
+    let back = fleet.conductors[2].ready().await;
+    println!("n02 is back{}", if back { " and takes clients" } else { ", and does not become ready" });
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let asked = load.end().await;
+    for (class, is_unsafe) in [("climb-query", false), ("route-save", true)] {
+        let count =
+            |outcome| asked.iter().filter(|a| a.is_unsafe == is_unsafe && a.outcome == outcome).count();
+        println!(
+            "{class}: {} served, {} refused, {} failed, {} cut short by the kill, {} found n02 away",
+            count(Outcome::Served),
+            count(Outcome::Refused),
+            count(Outcome::Failed),
+            count(Outcome::Lost) + count(Outcome::Broken),
+            count(Outcome::Unreachable)
+        );
+    }
+    Ok(back)
+}
+
+async fn histories(
+    program: &std::path::Path, seeds: std::ops::Range<u64>, steps: usize,
+) -> std::io::Result<bool> {
+    let (mut passed, mut failed) = (0, 0);
+    for seed in seeds {
+        let (fleet, report) = policy::history(program, seed, steps).await?;
+        println!("seed {seed}");
+        report.told.iter().for_each(|line| println!("  {line}"));
+        if report.found.is_empty() {
+            passed += 1;
+            continue;
+        }
+        failed += 1;
+        report.found.iter().take(12).for_each(|line| println!("  FOUND: {line}"));
+        let folder = fleet.keep();
+        let text = report.told.iter().chain(&report.found).cloned().collect::<Vec<_>>().join("\n");
+        std::fs::write(folder.join("history.txt"), text)?;
+        let asked: Vec<_> = report.asked.iter().map(|a| format!("{a:?}")).collect();
+        std::fs::write(folder.join("requests.txt"), asked.join("\n"))?;
+        println!("  kept in {}", folder.display());
+    }
+    println!("{passed} passed, {failed} failed");
+    Ok(failed == 0)
+}
+
+fn main() -> ExitCode {
+    let line = Line::parse();
+    let run = async {
+        let program = line.program.map_or_else(build, |path| path.canonicalize())?;
+        match line.command {
+            Command::Demo => demo(&program).await,
+            Command::Policy { seed, seeds, steps } => histories(&program, seed..seed + seeds, steps).await,
+        }
+    };
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+    match runtime.and_then(|runtime| runtime.block_on(run)) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(fault) => {
+            eprintln!("rig: {fault}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/control/desk.rs
@@ -0,0 +1,607 @@
+//! Where links, ledger and the deciding parts of a policy change come together. It has a thread of its own: flushing to
+//! disk must not hold up a request.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::MissedTickBehavior;
+
+use super::coordinator::Coordinator;
+use super::gate::Gate;
+use super::policy::{Policy, digest};
+use super::report::{Grant, Report};
+use super::right::{Active, Right};
+use super::state::{Agreed, ChangeId, Command, Ended, Phase, Revision, Session};
+use super::{AUTHORITY, policy};
+use crate::api::{Micros, Settings};
+use crate::ledger::store::Disk;
+use crate::ledger::{Ledger, LedgerError};
+use crate::node::Clock;
+use crate::peers::link::{Links, News, hear};
+use crate::peers::roster::Roster;
+use crate::peers::{Beat, Word};
+use crate::wire::Names;
+
+/// One tick of the ledger.
+const TICK: Duration = Duration::from_millis(50);
+/// Between the words of one that votes, or is in a change, to the leader...
+const REPORT_OFTEN: Micros = 150_000;
+/// ...and of all others.
+const REPORT_SELDOM: Micros = 700_000;
+/// After which an entry that has not come is proposed again.
+const ASK_AGAIN: Micros = 300_000;
+/// For so long an operator's call waits for a change to end. Its answer is owed within a second.
+const CALL_WAIT: Micros = 850_000;
+/// News and calls that wait.
+const WAITING: usize = 4_096;
+/// Calls that wait for a change to end.
+const CALLS_MOST: usize = 64;
+
+/// Why the conductors' side cannot start.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// The store or what it holds.
+    #[error("{0}")]
+    Ledger(#[from] LedgerError),
+    /// Its address.
+    #[error("cannot listen for peers on {0}: {1}")]
+    Listen(SocketAddr, std::io::Error),
+    /// Its thread.
+    #[error("cannot start the ledger's thread: {0}")]
+    Thread(std::io::Error),
+}
+
+/// What operators ask.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Where all stands.
+    Status,
+    /// A new policy.
+    Propose {
+        /// The document.
+        document: String,
+        /// The revision that it was made for.
+        base: Option<Revision>,
+    },
+    /// How a change ended.
+    Outcome(ChangeId),
+    /// A policy's document.
+    Document(Revision),
+    /// A conductor is a member no longer.
+    Remove(String),
+}
+
+/// The answer to a call.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reply {
+    /// As HTTP has it.
+    pub status: u16,
+    /// JSON.
+    pub body: Value,
+}
+
+/// The serving thread's way to the desk.
+#[derive(Clone)]
+pub struct Handle {
+    calls: mpsc::Sender<(Call, oneshot::Sender<Reply>)>,
+    /// The right to take requests.
+    pub right: Arc<Right>,
+}
+
+impl Handle {
+    /// Asks; where the ledger's thread has ended there is no answer.
+    pub async fn call(&self, call: Call) -> Option<Reply> {
+        let (answer, answered) = oneshot::channel();
+        self.calls.send((call, answer)).await.ok()?;
+        answered.await.ok()
+    }
+}
+
+/// What the desk needs of the deployment.
+pub struct Setup {
+    /// The operator's file.
+    pub roster: Roster,
+    /// The conductor's own settings.
+    pub settings: Settings,
+    /// Their names.
+    pub names: Names,
+    /// The clock that the right is judged by.
+    pub clock: Clock,
+}
+
+/// Opens the store and the peers' address, and starts the thread.
+pub fn start(setup: Setup) -> Result<Handle, StartError> {
+    let Roster { cluster, store, me, .. } = &setup.roster;
+    // The address first: that nobody else holds it proves that this conductor's older process has ended.
+    let listener = std::net::TcpListener::bind(me.address).map_err(|e| StartError::Listen(me.address, e))?;
+    listener.set_nonblocking(true).map_err(|e| StartError::Listen(me.address, e))?;
+    let (disk, loaded) = Disk::open(store, cluster, &me.name).map_err(LedgerError::from)?;
+    let ledger = Ledger::open(&me.name, setup.roster.founders(), disk, loaded)?;
+    let session = Session(rand::rng().random());
+    let right = Arc::new(Right::new(Gate::new(session), setup.settings.clone()));
+    let (calls, asked) = mpsc::channel(WAITING);
+    let handle = Handle { calls, right: right.clone() };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(StartError::Thread)?;
+    let thread = std::thread::Builder::new().name("ledger".into());
+    let run = move || {
+        LocalSet::new().block_on(&runtime, async move {
+            let (news, heard) = mpsc::channel(WAITING);
+            let (cluster, me) =
+                (Rc::<str>::from(&*setup.roster.cluster), Rc::<str>::from(&*setup.roster.me.name));
+            match TcpListener::from_std(listener) {
+                Ok(listener) => drop(spawn_local(hear(listener, cluster.clone(), me.clone(), news.clone()))),
+                Err(fault) => tracing::error!("peers: nobody can be heard: {fault}"),
+            }
+            let links = Links::new(cluster, me, news);
+            let (setup, ledger) = (setup, Some(ledger));
+            Desk {
+                setup,
+                right,
+                links,
+                ledger,
+                stopped: None,
+                coordinator: None,
+                beats: BTreeMap::new(),
+                beat: None,
+                reported_at: Micros::MIN / 2,
+                asked: Vec::new(),
+                waiting: Vec::new(),
+            }
+            .run(heard, asked)
+            .await;
+        });
+    };
+    thread.spawn(run).map_err(StartError::Thread)?;
+    Ok(handle)
+}
+
+struct Waiting {
+    command: Command,
+    id: ChangeId,
+    until: Micros,
+    answer: oneshot::Sender<Reply>,
+}
+
+struct Desk {
+    setup: Setup,
+    right: Arc<Right>,
+    links: Links,
+    /// None once nothing can be stored any more.
+    ledger: Option<Ledger<Disk>>,
+    stopped: Option<String>,
+    /// The leader's part, with the term that it was elected for.
+    coordinator: Option<(u64, Coordinator)>,
+    /// As a leader: when each last knew this conductor as one, on this clock.
+    beats: BTreeMap<String, Micros>,
+    /// As a follower: the leader's last word, from whom.
+    beat: Option<(String, Beat)>,
+    reported_at: Micros,
+    /// Entries asked for lately.
+    asked: Vec<(Command, Micros)>,
+    waiting: Vec<Waiting>,
+}
+
+impl Desk {
+    async fn run(
+        mut self, mut heard: mpsc::Receiver<News>, mut calls: mpsc::Receiver<(Call, oneshot::Sender<Reply>)>,
+    ) {
+        let mut ticks = tokio::time::interval(TICK);
+        // A process that was stopped does not make up for the ticks that it slept through.
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut news = Vec::new();
+        self.reload();
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => if let Some(ledger) = &mut self.ledger { ledger.tick() },
+                _ = heard.recv_many(&mut news, 64) => {}
+                Some((call, answer)) = calls.recv() => self.call(call, answer),
+            }
+            for news in news.drain(..) {
+                self.hear(news);
+            }
+            self.settle();
+        }
+    }
+
+    fn now(&self) -> Micros {
+        self.setup.clock.now()
+    }
+
+    fn me(&self) -> &str {
+        &self.setup.roster.me.name
+    }
+
+    fn hear(&mut self, news: News) {
+        let now = self.now();
+        let Some(ledger) = &mut self.ledger else { return };
+        match news {
+            News::Word(from, word) => self.listen(now, from, *word),
+            News::Refused(_, Some(session)) => {
+                if let Some((_, coordinator)) = &mut self.coordinator {
+                    coordinator.refused(session);
+                }
+            }
+            News::Refused(_, None) => {}
+            News::Down(name) => ledger.unreachable(&name),
+        }
+    }
+
+    fn listen(&mut self, now: Micros, from: String, word: Word) {
+        let Some(ledger) = &mut self.ledger else { return };
+        match word {
+            Word::Ledger(message) => {
+                if let Err(fault) = ledger.step(&from, message) {
+                    tracing::warn!("ledger: a message of {from} is passed over: {fault}");
+                }
+            }
+            Word::Report(report, echo) => {
+                let term = ledger.term();
+                if let Some(beat) = echo.filter(|beat| beat.term == term && beat.at <= now) {
+                    let heard = self.beats.entry(from.clone()).or_insert(beat.at);
+                    *heard = beat.at.max(*heard);
+                }
+                if let Some(grant) = self.grant(now, report) {
+                    self.links.send(&from, Word::Answer(grant, Beat { term, at: now }));
+                }
+            }
+            Word::Answer(grant, beat) => {
+                if beat.term == ledger.term() && ledger.leader() == Some(&from) {
+                    self.beat = Some((from, beat));
+                }
+                if let Some(grant) = grant {
+                    self.right.change(None, |gate| gate.granted(grant));
+                }
+            }
+            Word::Ask(command) => {
+                let own = match &command {
+                    Command::Register { name, .. } => *name == from,
+                    Command::Join(peer) => peer.name == from,
+                    Command::Propose { .. } | Command::Remove { .. } => true,
+                    _ => false,
+                };
+                if own {
+                    self.ask(now, command);
+                }
+            }
+        }
+    }
+
+    /// The leader's answer to a report; none from one that does not lead.
+    fn grant(&mut self, now: Micros, report: Report) -> Option<Option<Grant>> {
+        let authority = self.authority(now);
+        let (ledger, (term, coordinator)) = (self.ledger.as_ref()?, self.coordinator.as_mut()?);
+        (ledger.leads() && ledger.term() == *term)
+            .then(|| coordinator.report(now, report, ledger.agreed(), authority))
+    }
+
+    /// Whether a majority knew this conductor as its leader so lately that no other can have gone far.
+    fn authority(&self, now: Micros) -> bool {
+        let voters = self.ledger.as_ref().map(Ledger::voters).unwrap_or_default();
+        let lately = |at: &Micros| now <= at.saturating_add(AUTHORITY);
+        let knew = voters.iter().filter(|v| *v == self.me() || self.beats.get(*v).is_some_and(lately));
+        !voters.is_empty() && knew.count() > voters.len() / 2
+    }
+
+    /// Proposes, or asks the leader to; not twice within a short time.
+    fn ask(&mut self, now: Micros, command: Command) {
+        self.asked.retain(|(_, at)| now < at.saturating_add(ASK_AGAIN));
+        if self.asked.iter().any(|(asked, _)| *asked == command) {
+            return;
+        }
+        let me = self.setup.roster.me.name.clone();
+        let Some(ledger) = &mut self.ledger else { return };
+        if ledger.leads() {
+            if !ledger.propose(&command) {
+                return;
+            }
+        } else if let Some(leader) = ledger.leader().filter(|leader| *leader != me) {
+            self.links.send(leader, Word::Ask(command.clone()));
+        } else if matches!(&command, Command::Join(peer) if peer.name == me) {
+            // One that is no member yet knows no leader: whoever hears it passes it on.
+            self.links.names().for_each(|name| self.links.send(name, Word::Ask(command.clone())));
+        } else {
+            return;
+        }
+        self.asked.push((command, now));
+    }
+
+    /// Carries out all that is due.
+    fn settle(&mut self) {
+        // Proposals make the ledger ready anew, so it is looked at until it rests.
+        for _ in 0..8 {
+            let before = self.ledger.as_ref().map(Ledger::applied);
+            let moved = match self.ledger.as_mut().map(Ledger::drain) {
+                Some(Ok(output)) => {
+                    for message in output.messages {
+                        let to = self.ledger.as_ref().and_then(|ledger| ledger.name(message.to));
+                        if let Some(to) = to {
+                            self.links.send(to, Word::Ledger(message));
+                        }
+                    }
+                    output.applied.iter().for_each(|line| tracing::info!("ledger: {line}"));
+                    output.moved
+                }
+                Some(Err(fault)) => {
+                    tracing::error!("ledger: stopped, this conductor serves on without it: {fault}");
+                    self.stopped = Some(fault.to_string());
+                    (self.ledger, self.coordinator) = (None, None);
+                    false
+                }
+                None => false,
+            };
+            if moved {
+                self.asked.clear();
+                self.reload();
+            }
+            let now = self.now();
+            self.lead(now);
+            self.speak(now, moved);
+            let after = self.ledger.as_ref().map(Ledger::applied);
+            if before == after && !moved {
+                break;
+            }
+        }
+        self.answer_waiting();
+    }
+
+    /// Takes in what is agreed on now.
+    fn reload(&mut self) {
+        let now = self.now();
+        let Some(ledger) = &self.ledger else { return };
+        let agreed = ledger.agreed();
+        let known = agreed.members.values().chain(&self.setup.roster.peers);
+        let mut ways = BTreeMap::new();
+        for peer in known.filter(|peer| agreed.members.is_empty() || agreed.members.contains_key(&peer.name))
+        {
+            ways.entry(peer.name.clone()).or_insert_with(|| self.setup.roster.way(peer));
+        }
+        self.links.know(ways, agreed.sessions.clone());
+        let active = (agreed.revision != self.right.active().revision)
+            .then(|| agreed.documents.get(&agreed.revision))
+            .flatten()
+            .and_then(|document| {
+                let active = under(&self.setup, agreed.revision, document);
+                let fault =
+                    |fault| tracing::error!("policy: revision {} cannot be used: {fault}", agreed.revision);
+                active.map_err(fault).ok()
+            });
+        let name = &self.setup.roster.me.name;
+        if let Some(active) = &active {
+            tracing::info!("policy: revision {} is in force here", active.revision);
+        }
+        let owed = self.right.change(active.map(Arc::new), |gate| gate.applied(now, name, agreed));
+        if owed && let Some(change) = &agreed.change {
+            let verdict = under(&self.setup, change.revision, &change.document).and_then(|active| {
+                let same = active.policy.is_some_and(|policy| policy.silence == change.silence);
+                if same { Ok(()) } else { Err("silence: differs from what was proposed".into()) }
+            });
+            if let Err(why) = &verdict {
+                tracing::warn!("policy: change {} is turned down here: {why}", change.id);
+            }
+            self.right.change(None, |gate| gate.prepared(change.id, verdict));
+        }
+    }
+
+    /// The leader's part.
+    fn lead(&mut self, now: Micros) {
+        let Some(ledger) = &self.ledger else { return };
+        if !ledger.leads() {
+            self.coordinator = None;
+            return;
+        }
+        let term = ledger.term();
+        if self.coordinator.as_ref().is_none_or(|(of, _)| *of != term) {
+            tracing::info!("ledger: this conductor leads from term {term} on");
+            self.coordinator = Some((term, Coordinator::new(now)));
+            self.beats.clear();
+        }
+        let Some((_, coordinator)) = &mut self.coordinator else { return };
+        for command in coordinator.due(now, ledger.agreed()) {
+            self.ask(now, command);
+        }
+    }
+
+    /// This conductor's own word: where it stands, that it has started, that it would be a member.
+    fn speak(&mut self, now: Micros, moved: bool) {
+        let Some(ledger) = &self.ledger else { return };
+        let (registered, session) = self.right.look(|gate| (gate.registered(), gate.session()));
+        let me = self.setup.roster.me.clone();
+        if !registered {
+            let readable = ledger.agreed().revision == self.right.active().revision;
+            let member = ledger.agreed().members.contains_key(&me.name);
+            if member && readable {
+                self.ask(now, Command::Register { name: me.name, session });
+            } else if !member && self.setup.roster.join {
+                self.ask(now, Command::Join(me));
+            }
+            return;
+        }
+        let report = self.right.look(|gate| gate.report(now));
+        let often = report.standing.is_some() || ledger.voters().contains(&me.name);
+        let often = often || ledger.agreed().silence == policy::Silence::Stop;
+        let every = if often { REPORT_OFTEN } else { REPORT_SELDOM };
+        if !(moved && report.standing.is_some()) && now < self.reported_at.saturating_add(every) {
+            return;
+        }
+        self.reported_at = now;
+        if ledger.leads() {
+            if let Some(Some(grant)) = self.grant(now, report) {
+                self.right.change(None, |gate| gate.granted(grant));
+            }
+            self.lead(now);
+        } else if let Some(leader) = ledger.leader() {
+            let term = ledger.term();
+            let echo = self.beat.as_ref().filter(|(from, beat)| from == leader && beat.term == term);
+            self.links.send(leader, Word::Report(report, echo.map(|(_, beat)| *beat)));
+        }
+    }
+
+    // ---- Operators' calls ----
+
+    fn call(&mut self, call: Call, answer: oneshot::Sender<Reply>) {
+        let now = self.now();
+        let reply = match call {
+            Call::Status => Reply { status: 200, body: self.status() },
+            Call::Document(revision) => {
+                match self.ledger.as_ref().and_then(|l| l.agreed().documents.get(&revision)) {
+                    Some(document) => {
+                        Reply { status: 200, body: json!({ "revision": revision, "document": document }) }
+                    }
+                    None => no(404, "no such revision is kept"),
+                }
+            }
+            Call::Outcome(id) => self.outcome(id),
+            Call::Propose { document, base } => match self.proposal(document, base) {
+                Ok(_) if self.waiting.len() >= CALLS_MOST => no(503, "too many changes are waited for"),
+                Ok((command, id)) => {
+                    let until = now.saturating_add(CALL_WAIT);
+                    return self.waiting.push(Waiting { command, id, until, answer });
+                }
+                Err(reply) => reply,
+            },
+            Call::Remove(name) => self.remove(now, name),
+        };
+        let _ = answer.send(reply);
+    }
+
+    fn proposal(&self, document: String, base: Option<Revision>) -> Result<(Command, ChangeId), Reply> {
+        let Some(ledger) = &self.ledger else {
+            return Err(no(503, self.stopped.as_deref().unwrap_or("the ledger has stopped")));
+        };
+        let turned_down = |why: String| Reply {
+            status: 422,
+            body: json!({ "outcome": "turned_down", "who": [self.me()], "why": why }),
+        };
+        let silence = under(&self.setup, ledger.agreed().revision + 1, &document).map_err(turned_down)?;
+        let silence = silence.policy.map(|policy| policy.silence).unwrap_or_default();
+        let id = ChangeId(rand::rng().random());
+        let by = self.me().to_owned();
+        Ok((Command::Propose { id, base, by, document, silence }, id))
+    }
+
+    fn remove(&mut self, now: Micros, name: String) -> Reply {
+        let Some(ledger) = &self.ledger else { return no(503, "the ledger has stopped") };
+        if !ledger.agreed().members.contains_key(&name) {
+            return no(404, "no such member");
+        }
+        if ledger.voters() == [name.clone()] {
+            return no(409, "the last voter stays");
+        }
+        if ledger.leader().is_none() {
+            return no(503, "the ledger has no leader: too few voters are up");
+        }
+        self.ask(now, Command::Remove { name: name.clone() });
+        Reply { status: 202, body: json!({ "asked": name, "see": "/peers" }) }
+    }
+
+    fn outcome(&self, id: ChangeId) -> Reply {
+        let unknown = |phase: &str| {
+            let body = json!({ "outcome": "unknown", "id": id.to_string(), "phase": phase, "see": path(id) });
+            Reply { status: 202, body }
+        };
+        let Some(ledger) = &self.ledger else { return unknown("the ledger has stopped here") };
+        let agreed = ledger.agreed();
+        match (agreed.ended(id), &agreed.change) {
+            (Some(ended), _) => {
+                let applied = matches!(ended, Ended::Applied { .. });
+                let mut body = serde_json::to_value(ended).unwrap_or_default();
+                body["id"] = id.to_string().into();
+                Reply { status: if applied { 200 } else { 409 }, body }
+            }
+            (None, Some(change)) if change.id == id => unknown(phase(change.phase)),
+            _ => unknown("not seen in the ledger"),
+        }
+    }
+
+    /// Answers the calls whose change has ended, and those that have waited long enough.
+    fn answer_waiting(&mut self) {
+        let now = self.now();
+        for waiting in std::mem::take(&mut self.waiting) {
+            let reply = self.outcome(waiting.id);
+            if reply.status != 202 || now >= waiting.until {
+                let _ = waiting.answer.send(reply);
+                continue;
+            }
+            if !self.ledger.as_ref().is_some_and(|ledger| ledger.agreed().known(waiting.id)) {
+                self.ask(now, waiting.command.clone());
+            }
+            self.waiting.push(waiting);
+        }
+    }
+
+    fn status(&self) -> Value {
+        let active = self.right.active();
+        let now = self.now();
+        let (registered, lease) = self.right.look(|gate| (gate.registered(), gate.lease_until()));
+        let (words, bytes) = self.links.sent();
+        let mut status = json!({
+            "name": self.me(),
+            "cluster": self.setup.roster.cluster,
+            "revision": active.revision,
+            "registered": registered,
+            "lease_ms": (lease - now).max(0) / 1_000,
+            "takes": format!("{:?}", self.right.look(|gate| gate.take(now))),
+            "sent": { "words": words, "bytes": bytes },
+            "ledger": self.stopped.as_deref().unwrap_or("runs"),
+        });
+        let Some(ledger) = &self.ledger else { return status };
+        let Agreed { change, sessions, members, history, documents, silence, .. } = ledger.agreed();
+        let voters = ledger.voters();
+        status["silence"] = json!(silence);
+        status["digest"] = json!(documents.get(&active.revision).map(|document| digest(document)));
+        status["leader"] = json!(ledger.leader());
+        status["term"] = json!(ledger.term());
+        status["applied"] = json!(ledger.applied());
+        status["change"] = json!(change.as_ref().map(|c| {
+            json!({ "id": c.id.to_string(), "revision": c.revision, "by": c.by, "phase": phase(c.phase) })
+        }));
+        let members = members.values().map(|peer| {
+            json!({
+                "name": peer.name, "address": peer.address, "site": peer.site, "votes": voters.contains(&peer.name),
+                "live": sessions.contains_key(&peer.name),
+            })
+        });
+        status["peers"] = members.collect();
+        let history = history.iter().rev().take(32).map(|past| {
+            let mut line = serde_json::to_value(&past.ended).unwrap_or_default();
+            (line["id"], line["by"]) = (past.id.to_string().into(), past.by.clone().into());
+            line
+        });
+        status["history"] = history.collect();
+        status["kept"] = documents.keys().copied().collect();
+        status
+    }
+}
+
+/// A document over this deployment's settings.
+fn under(setup: &Setup, revision: Revision, document: &str) -> Result<Active, String> {
+    let policy = Policy::parse(document).map_err(|fault| fault.to_string())?;
+    let Names { classes, tenants, zones, .. } = &setup.names;
+    let settings =
+        policy.over(&setup.settings, classes, tenants, zones).map_err(|fault| fault.to_string())?;
+    Ok(Active { revision, policy: Some(policy), settings })
+}
+
+fn phase(phase: Phase) -> &'static str {
+    match phase {
+        Phase::Proposed => "proposed",
+        Phase::Decided => "decided",
+    }
+}
+
+fn path(id: ChangeId) -> String {
+    format!("/policy/changes/{id}")
+}
+
+fn no(status: u16, why: &str) -> Reply {
+    Reply { status, body: json!({ "error": why }) }
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,12 +1,16 @@
-//! One policy for all conductors, changed at one moment (`docs/POLICY.md`). Nothing here does I/O or reads a clock.
+//! One policy for all conductors, changed at one moment (`docs/POLICY.md`). Nothing here does I/O or reads a clock, but for
+//! the desk that brings links, ledger and these parts together.
 //!
 //! [`policy`] is the document, [`state`] is what the ledger makes all agree on, [`coordinator`] is the part of the
 //! ledger's leader, [`gate`] is a conductor's right to take requests. [`report`] holds what the last two tell each other.
 
 pub mod coordinator;
+#[cfg(feature = "cluster")]
+pub mod desk;
 pub mod gate;
 pub mod policy;
 pub mod report;
+pub mod right;
 pub mod state;
 
 use crate::api::Micros;
--- /dev/null
+++ b/src/ledger/store.rs
@@ -0,0 +1,199 @@
+//! What the ledger keeps on disk: the log, a snapshot, votes. Each value has a checksum, each batch is flushed whole or
+//! not at all.
+
+use std::path::{Path, PathBuf};
+
+use redb::{Database, ReadableTable, TableDefinition};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::types::{Entry, Hard, Snap, decode, encode};
+
+const META: TableDefinition<&str, &[u8]> = TableDefinition::new("meta");
+const LOG: TableDefinition<u64, &[u8]> = TableDefinition::new("log");
+/// The form of what is kept; another one is turned down.
+const FORM: u32 = 1;
+
+/// Why nothing can be kept or read.
+#[derive(Debug, thiserror::Error)]
+pub enum StoreError {
+    /// The file or its pages are damaged or cannot be reached.
+    #[error("store {0}: {1}")]
+    File(PathBuf, String),
+    /// It was made by another fleet.
+    #[error("store {0}: belongs to the cluster \"{1}\", not to \"{2}\"")]
+    Foreign(PathBuf, String, String),
+    /// It was made for another conductor.
+    #[error("store {0}: belongs to the conductor \"{1}\", not to \"{2}\"")]
+    Other(PathBuf, String, String),
+    /// Another version made it.
+    #[error("store {0}: has form {1}, and this version reads form {FORM}")]
+    Form(PathBuf, u32),
+    /// A value does not fit its checksum or cannot be read.
+    #[error("store {0}: {1} is damaged")]
+    Damaged(PathBuf, String),
+}
+
+/// What is written together.
+#[derive(Clone, Debug, Default)]
+pub struct Batch {
+    /// A snapshot in place of the one before.
+    pub snap: Option<Snap>,
+    /// Entries; those kept from the first one's place on go.
+    pub entries: Vec<Entry>,
+    /// Term, vote and commit.
+    pub hard: Option<Hard>,
+    /// Entries before this place go.
+    pub cut_before: Option<u64>,
+}
+
+impl Batch {
+    fn is_empty(&self) -> bool {
+        let changes = self.snap.is_some() || self.hard.is_some();
+        !changes && self.entries.is_empty() && self.cut_before.is_none()
+    }
+}
+
+/// What a store held when it was opened.
+#[derive(Clone, Debug, Default)]
+pub struct Loaded {
+    /// The last snapshot.
+    pub snap: Option<Snap>,
+    /// The entries behind it, perhaps some before.
+    pub entries: Vec<Entry>,
+    /// Term, vote and commit.
+    pub hard: Option<Hard>,
+}
+
+/// Where a ledger keeps what it must not forget.
+pub trait Stable {
+    /// Keeps a batch; when this returns well it outlasts a crash.
+    fn write(&mut self, batch: &Batch) -> Result<(), StoreError>;
+}
+
+/// A store on disk. It is locked while it is open.
+pub struct Disk {
+    path: PathBuf,
+    db: Database,
+}
+
+fn sealed(value: &impl Serialize) -> Vec<u8> {
+    let bytes = encode(value);
+    let mut sealed = xxh3_64(&bytes).to_le_bytes().to_vec();
+    sealed.extend(bytes);
+    sealed
+}
+
+fn unsealed<T: DeserializeOwned>(sealed: &[u8]) -> Option<T> {
+    let (sum, bytes) = sealed.split_first_chunk::<8>()?;
+    (u64::from_le_bytes(*sum) == xxh3_64(bytes)).then(|| decode(bytes).ok())?
+}
+
+impl Disk {
+    /// Opens or makes the store of this conductor in this cluster, and checks all that it holds.
+    pub fn open(path: &Path, cluster: &str, name: &str) -> Result<(Self, Loaded), StoreError> {
+        let file = |fault: &dyn std::fmt::Display| StoreError::File(path.into(), fault.to_string());
+        let mut db = Database::create(path).map_err(|e| file(&e))?;
+        if !db.check_integrity().map_err(|e| file(&e))? {
+            tracing::warn!("ledger: the store was not closed well and was mended");
+        }
+        let disk = Disk { path: path.into(), db };
+        let write = disk.db.begin_write().map_err(|e| file(&e))?;
+        {
+            let mut meta = write.open_table(META).map_err(|e| file(&e))?;
+            write.open_table(LOG).map_err(|e| file(&e))?;
+            if meta.get("form").map_err(|e| file(&e))?.is_none() {
+                for (key, value) in
+                    [("form", sealed(&FORM)), ("cluster", sealed(&cluster)), ("name", sealed(&name))]
+                {
+                    meta.insert(key, value.as_slice()).map_err(|e| file(&e))?;
+                }
+            }
+        }
+        write.commit().map_err(|e| file(&e))?;
+        let form: u32 = disk.meta("form")?.unwrap_or(0);
+        if form != FORM {
+            return Err(StoreError::Form(path.into(), form));
+        }
+        let of: String = disk.meta("cluster")?.unwrap_or_default();
+        if of != cluster {
+            return Err(StoreError::Foreign(path.into(), of, cluster.into()));
+        }
+        let of: String = disk.meta("name")?.unwrap_or_default();
+        if of != name {
+            return Err(StoreError::Other(path.into(), of, name.into()));
+        }
+        let loaded = Loaded { snap: disk.meta("snap")?, entries: disk.entries()?, hard: disk.meta("hard")? };
+        Ok((disk, loaded))
+    }
+
+    fn file(&self, fault: impl std::fmt::Display) -> StoreError {
+        StoreError::File(self.path.clone(), fault.to_string())
+    }
+
+    fn meta<T: DeserializeOwned>(&self, key: &str) -> Result<Option<T>, StoreError> {
+        let read = self.db.begin_read().map_err(|e| self.file(e))?;
+        let table = read.open_table(META).map_err(|e| self.file(e))?;
+        let Some(value) = table.get(key).map_err(|e| self.file(e))? else { return Ok(None) };
+        let value =
+            unsealed(value.value()).ok_or_else(|| StoreError::Damaged(self.path.clone(), key.into()))?;
+        Ok(Some(value))
+    }
+
+    fn entries(&self) -> Result<Vec<Entry>, StoreError> {
+        let read = self.db.begin_read().map_err(|e| self.file(e))?;
+        let table = read.open_table(LOG).map_err(|e| self.file(e))?;
+        let mut entries: Vec<Entry> = Vec::new();
+        for row in table.iter().map_err(|e| self.file(e))? {
+            let (index, value) = row.map_err(|e| self.file(e))?;
+            let index = index.value();
+            let fits =
+                |e: &Entry| e.index == index && entries.last().is_none_or(|before| before.index + 1 == index);
+            let entry = unsealed(value.value()).filter(fits);
+            entries
+                .push(entry.ok_or_else(|| StoreError::Damaged(self.path.clone(), format!("entry {index}")))?);
+        }
+        Ok(entries)
+    }
+
+    fn commit(&self, batch: &Batch) -> Result<(), Box<redb::Error>> {
+        self.change(batch).map_err(Box::new)
+    }
+
+    #[allow(clippy::result_large_err)] // the library's own error; boxed where it goes on
+    fn change(&self, batch: &Batch) -> Result<(), redb::Error> {
+        let write = self.db.begin_write()?;
+        {
+            let (mut meta, mut log) = (write.open_table(META)?, write.open_table(LOG)?);
+            if let Some(snap) = &batch.snap {
+                meta.insert("snap", sealed(snap).as_slice())?;
+                log.retain_in(..=snap.index, |_, _| false)?;
+                if batch.cut_before.is_none() {
+                    // Another's: what is kept behind it may not go on from it.
+                    log.retain(|_, _| false)?;
+                }
+            }
+            if let Some(first) = batch.entries.first() {
+                log.retain_in(first.index.., |_, _| false)?;
+            }
+            for entry in &batch.entries {
+                log.insert(entry.index, sealed(entry).as_slice())?;
+            }
+            if let Some(hard) = &batch.hard {
+                meta.insert("hard", sealed(hard).as_slice())?;
+            }
+        }
+        write.commit()?;
+        Ok(())
+    }
+}
+
+impl Stable for Disk {
+    fn write(&mut self, batch: &Batch) -> Result<(), StoreError> {
+        if batch.is_empty() {
+            return Ok(());
+        }
+        self.commit(batch).map_err(|fault| self.file(fault))
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,9 +10,15 @@
 struct Readme;
 
 pub mod api;
+#[cfg(feature = "cluster")]
+pub mod cli;
 pub mod control;
+#[cfg(feature = "cluster")]
+pub mod ledger;
 pub mod logic;
 pub mod node;
+#[cfg(feature = "cluster")]
+pub mod peers;
 pub mod wire;
 
 pub use api::{Action, Event, Settings};
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,13 +1,14 @@
 //! Every decision of the router. The interface (settings, events, actions) is `src/api.rs`.
 //!
-//! The mechanism, after SABER's online phase. A request arrives into the high tier, kept by the time at which its first
-//! token is wanted. Whenever something happens, and at each tick while any is held, one of the first few is drawn at
-//! random and tested: would the writer's speed curve at L+1 streams still keep its token pace and that of every stream
-//! there, has the writer memory for it, and can its first token come in time? If so the prompt goes to its reader, found
-//! by hash of the shared beginning. Else it waits unread. What cannot start in time drops to the low tier, sent untested
-//! while the high tier is empty and given up on, at once, when the client's deadline is out of reach. After the read the
-//! test is made again. The curve is the Universal Scalability Law in inverse form, pace = a + b(L-1) + c L(L-1), fitted
-//! online for each kind of host. L counts all streams: the own, and others' by the memory that reports show held.
+//! The mechanism, after SABER's online phase. A request arrives into the high tier, kept by the time at which
+//! its first token is wanted. At each event, and each tick while any is held, one of the first few is drawn
+//! at random and tested: would the writer's speed curve at L+1 streams still keep its token pace and that of
+//! every stream there, has the writer memory for it, and can its first token come in time? If so the prompt
+//! goes to its reader, by hash of its beginning; else it waits unread. What cannot start in time drops to the
+//! low tier, sent untested while the high tier is empty and given up on, at once, when the client's deadline
+//! is out of reach. After the read the test is made again. The curve is the Universal Scalability Law
+//! inverted, pace = a + b(L-1) + c L(L-1), fitted online for each kind of host. L counts all streams: the
+//! own, and others' by the memory that reports show held.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -253,8 +254,7 @@
     ready_since: Micros,
 
     may_have_run: Option<(HostId, Micros)>,
-    /// Ended for the client; only an outcome is still awaited.
-    ended: bool,
+    ended: bool, // for the client; only an outcome is still awaited
     begun: Micros,
 }
 
@@ -264,7 +264,7 @@
     curves: Vec<Curve>,
     read_cost: Fading,
     first_took: Fading,
-    /// Means: a request's tokens, others' share of a writer's memory, the share of a prompt kept at its home.
+    /// Means: a request's tokens, others' share of a writer's memory, a prompt's share kept at its home.
     footprint: f64,
     others: f64,
     kept_share: f64,
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,13 +3,20 @@
 
 use std::cell::Cell;
 use std::net::SocketAddr;
+#[cfg(feature = "cluster")]
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 
 use croftsill::api::{HostId, Member, Role};
+#[cfg(feature = "cluster")]
+use croftsill::cli::{self, Words};
+#[cfg(feature = "cluster")]
+use croftsill::control::desk;
 use croftsill::node::counters::Counters;
+use croftsill::node::door::Door;
 use croftsill::node::front::chat::ChatFront;
 use croftsill::node::front::intake::Intake;
 use croftsill::node::front::operator::{self, Operator};
@@ -20,14 +27,16 @@
 use croftsill::node::list::membership::Membership;
 use croftsill::node::planner::Planner;
 use croftsill::node::process::config::{Chat, ConfigError, Platform};
-use croftsill::node::process::handover::{self, Hello};
+use croftsill::node::process::handover::{self, Hello, State};
 use croftsill::node::process::readiness::{Happening, Readiness};
 use croftsill::node::process::reload;
 use croftsill::node::process::shutdown::{STILL_STREAMING, Shutdown};
-use croftsill::node::process::succession::{self, Estate, Inherited, Partners};
+use croftsill::node::process::succession::{self, Estate, Inherited, Link, Partners};
 use croftsill::node::upstream::attempt::{Dialect, Upstream};
 use croftsill::node::upstream::pool::{Pool, Site};
 use croftsill::node::{Clock, Core, tend_fleet};
+#[cfg(feature = "cluster")]
+use croftsill::peers::roster::Roster;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::Signal;
 use tokio::sync::watch;
@@ -49,6 +58,10 @@
     Listen(SocketAddr, std::io::Error),
     #[error("{0}")]
     Io(#[from] std::io::Error),
+    #[cfg(feature = "cluster")]
+    #[error("{0}")]
+    Peers(#[from] croftsill::control::desk::StartError),
+    #[cfg(not(feature = "cluster"))]
     #[error("usage: croftsill [--chat FILE]")]
     Usage,
 }
@@ -67,81 +80,139 @@
     bound().map_err(|fault| StartError::Listen(place, fault))
 }
 
+/// What a process begins with: an older one's, or its own.
+struct Beginning {
+    inherited: Option<State>,
+    listener: TcpListener,
+    link: Option<Link>,
+    /// Where a newer process finds this one.
+    meeting: Option<PathBuf>,
+}
+
+impl Beginning {
+    /// Takes an older process's clients over, or listens.
+    async fn find(config: &Platform, hello: &Hello, alone: bool) -> Result<Self, StartError> {
+        let meeting = config.operator.filter(|_| alone).and_then(|_| succession::meeting_place(&config.name));
+        let inherited = match &meeting {
+            Some(path) if path.exists() => {
+                let asked = succession::inherit(path, hello).await;
+                asked.inspect_err(|fault| tracing::warn!("handover: nothing taken over: {fault}")).ok()
+            }
+            _ => None,
+        };
+        Ok(match inherited.map(Inherited::parts) {
+            Some((listener, state, link)) => {
+                Beginning { inherited: Some(state), listener, link: Some(link), meeting }
+            }
+            None => {
+                let listener = listen(config.listen, meeting.is_some())?;
+                Beginning { inherited: None, listener, link: None, meeting }
+            }
+        })
+    }
+}
+
+/// The list that a process begins with.
+fn first_list(config: &Platform, inherited: Option<State>, shutdown: &Shutdown) -> Membership {
+    let mut known = Membership::default();
+    if let Some(list) = &config.known {
+        let _ = known.take(list);
+    }
+    if let Some(state) = inherited {
+        succession::take_over(shutdown, &state);
+        known = state.membership;
+        if state.discovery != config.discovery {
+            known.forget_version();
+        }
+    }
+    known
+}
+
+/// Says that this process can serve, once it is known to the other conductors and has a list: discovery's, or after a
+/// while the one that it began with.
+async fn become_ready(
+    mut told: watch::Receiver<bool>, (known, wait): (bool, Duration), door: Rc<Door>, shutdown: Shutdown,
+) {
+    let in_time = tokio::time::timeout(wait, told.wait_for(|told| *told)).await.is_ok();
+    if !in_time && !known {
+        let _ = told.wait_for(|told| *told).await;
+    }
+    door.registered().await;
+    tracing::info!("ready, {}", if in_time { "with discovery's list" } else { "discovery is silent" });
+    shutdown.note(Happening::CanServe);
+}
+
+/// Tells the planner when the end is near for streams that still run.
+async fn end_streams(planner: Planner, shutdown: Shutdown) {
+    shutdown.once(Readiness::ending).await;
+    tokio::time::sleep(STILL_STREAMING).await;
+    // A newer process serves at the same address until the very end and after it.
+    if shutdown.readiness().accepts() {
+        planner.ending();
+    }
+}
+
+/// Where conductors know one another: the door behind which the right to take requests holds, and operators' way there.
+#[cfg(feature = "cluster")]
+fn join_peers(
+    file: Option<&Path>, config: &Platform, clock: Clock, counters: &Rc<Counters>,
+) -> Result<(Rc<Door>, Option<desk::Handle>), StartError> {
+    let Some(file) = file else { return Ok((Door::open(), None)) };
+    let roster = Roster::read(file, &config.name)?;
+    tracing::info!("peers: {} of {}, listens on {}", config.name, roster.cluster, roster.me.address);
+    let (settings, names) = (config.settings.clone(), config.names.clone());
+    let handle = desk::start(desk::Setup { roster, settings, names, clock })?;
+    Ok((Door::guarded(handle.right.clone(), clock, counters.clone()), Some(handle)))
+}
+
 async fn start_platform(
-    config: Platform, clock: Clock, counters: Rc<Counters>, shutdown: &Shutdown, replaced: (Signal, PathBuf),
-    alone: bool,
+    config: Platform, words: &Words, clock: Clock, counters: Rc<Counters>, shutdown: &Shutdown,
+    replaced: (Signal, PathBuf),
 ) -> Result<(), StartError> {
-    // The chat front's address cannot be shared, so a process with one is not succeeded while it runs.
-    let meeting = config.operator.filter(|_| alone).and_then(|_| succession::meeting_place(&config.name));
+    // The chat front's address cannot be shared, nor a conductor's store and its address for peers: a process with one of
+    // them is not succeeded while it runs.
+    let alone = words.chat.is_none() && words.cluster.is_none();
     let hello = Hello { version: handover::VERSION, name: config.name.clone(), listen: config.listen };
-    let inherited = match &meeting {
-        Some(path) if path.exists() => {
-            let asked = succession::inherit(path, &hello).await;
-            asked.inspect_err(|fault| tracing::warn!("handover: nothing taken over: {fault}")).ok()
-        }
-        _ => None,
-    };
-    let inherited = inherited.map(Inherited::parts);
-    let (inherited, listener, link) = match inherited {
-        Some((listener, state, link)) => (Some(state), listener, Some(link)),
-        None => (None, listen(config.listen, meeting.is_some())?, None),
-    };
+    let Beginning { inherited, listener, link, meeting } = Beginning::find(&config, &hello, alone).await?;
     let listener = Rc::new(listener);
+    #[cfg(feature = "cluster")]
+    let (door, conductors) = join_peers(words.cluster.as_deref(), &config, clock, &counters)?;
+    #[cfg(not(feature = "cluster"))]
+    let door = Door::open();
     let settings = handover::digest(&config.settings);
     let same = inherited.as_ref().filter(|state| state.settings == settings);
     let learnt = same.map(|state| state.learnt.clone());
-    let pool = Rc::new(Pool::new(config.pool, counters.clone()));
+    let pool = Rc::new(Pool::new(config.pool.clone(), counters.clone()));
     let (planner, orders) = Planner::start(config.settings.clone(), config.seed, clock, learnt);
     let upstream = Rc::new(Upstream::new(pool.clone(), Dialect::Platform, counters.clone()));
     let (discovery, address) = watch::channel(config.discovery);
     let (hangups, path) = replaced;
     spawn_local(reload::follow(hangups, path, discovery, counters.clone()));
-    let core = Core { planner, upstream, counters: counters.clone() };
+    let core = Core { planner, upstream, counters: counters.clone(), door: door.clone() };
     spawn_local(tend_fleet(core.clone(), orders));
-    spawn_local(async move { pool.tidy().await });
+    let tidied = pool.clone();
+    spawn_local(async move { tidied.tidy().await });
 
-    let mut known = Membership::default();
-    if let Some(list) = &config.known {
-        let _ = known.take(list);
-    }
     let fresh = inherited.is_some();
-    if let Some(state) = inherited {
-        succession::take_over(shutdown, &state);
-        known = state.membership;
-        if state.discovery != config.discovery {
-            known.forget_version();
-        }
-    }
+    let known = first_list(&config, inherited, shutdown);
     let fleet = Fleet::new(core.clone(), config.settings.clone(), config.names.clone(), clock, known);
     let directory = Directory::new(fleet.clone(), config.settings.routers, config.seed);
-    let (told, mut heard) = watch::channel(false);
+    let (told, heard) = watch::channel(false);
     let discovery = address.clone();
     spawn_local(directory.follow(address, told));
-    let (known, noted) = (config.known.is_some() || fresh, shutdown.clone());
     let wait = if fresh { INHERITED_WAIT } else { DISCOVERY_WAIT };
-    spawn_local(async move {
-        let in_time = tokio::time::timeout(wait, heard.wait_for(|told| *told)).await.is_ok();
-        if !in_time && !known {
-            let _ = heard.wait_for(|told| *told).await;
-        }
-        tracing::info!("ready, {}", if in_time { "with discovery's list" } else { "discovery is silent" });
-        noted.note(Happening::CanServe);
-    });
-    let (planner, ending) = (core.planner.clone(), shutdown.clone());
-    spawn_local(async move {
-        ending.once(Readiness::ending).await;
-        tokio::time::sleep(STILL_STREAMING).await;
-        // A newer process serves at the same address until the very end and after it.
-        if ending.readiness().accepts() {
-            planner.ending();
-        }
-    });
+    let known = config.known.is_some() || fresh;
+    spawn_local(become_ready(heard, (known, wait), door.clone(), shutdown.clone()));
+    spawn_local(end_streams(core.planner.clone(), shutdown.clone()));
     let intake = Intake::new(config.intake, config.body_bytes, counters.clone());
+    spawn_local(door.limit(intake.clone(), pool));
     let front = PlatformFront::new(core, config.names, intake.clone(), shutdown.clone());
     let partners = Partners::default();
     if let Some(place) = config.operator {
         let listener = TcpListener::bind(place).await.map_err(|fault| StartError::Listen(place, fault))?;
         let operator = Operator::new(fleet.clone(), shutdown.clone(), partners.clone());
+        #[cfg(feature = "cluster")]
+        let operator = operator.among(conductors);
         spawn_local(operator::serve(listener, operator));
         tracing::info!("operators call at {place}");
     }
@@ -187,7 +258,7 @@
     let (planner, orders) = Planner::start(config.settings.clone(), seed, clock, None);
     let dialect = Dialect::Chat(std::mem::take(&mut config.server_headers));
     let upstream = Rc::new(Upstream::new(pool.clone(), dialect, counters.clone()));
-    let core = Core { planner, upstream, counters: counters.clone() };
+    let core = Core { planner, upstream, counters: counters.clone(), door: Door::open() };
     spawn_local(tend_fleet(core.clone(), orders));
     let tidied = pool.clone();
     spawn_local(async move { tidied.tidy().await });
@@ -206,24 +277,33 @@
     Ok(())
 }
 
-/// The operator's file, where the program was started as `croftsill --chat FILE`.
-fn chat_file() -> Result<Option<PathBuf>, StartError> {
+/// What the program was started with.
+#[cfg(not(feature = "cluster"))]
+struct Words {
+    chat: Option<PathBuf>,
+    cluster: Option<std::convert::Infallible>,
+}
+
+/// Without operators' commands the program takes one word: `croftsill --chat FILE`.
+#[cfg(not(feature = "cluster"))]
+fn words() -> Result<Words, StartError> {
     let mut words = std::env::args_os().skip(1);
-    match (words.next(), words.next(), words.next()) {
-        (None, ..) => Ok(None),
-        (Some(flag), Some(file), None) if flag == "--chat" => Ok(Some(file.into())),
-        _ => Err(StartError::Usage),
-    }
+    let chat = match (words.next(), words.next(), words.next()) {
+        (None, ..) => None,
+        (Some(flag), Some(file), None) if flag == "--chat" => Some(file.into()),
+        _ => return Err(StartError::Usage),
+    };
+    Ok(Words { chat, cluster: None })
 }
 
-async fn run() -> Result<(), StartError> {
+async fn run(words: Words) -> Result<(), StartError> {
     let clock = Clock::start();
     let hangups = reload::hangups()?;
     let shutdown = Shutdown::default();
-    let chat = chat_file()?.map(|path| Chat::read(&path)).transpose()?;
+    let chat = words.chat.as_deref().map(Chat::read).transpose()?;
     let path = std::env::var_os("LB_CONFIG").map(PathBuf::from);
     let platform = path.map(|path| Platform::read(&path).map(|config| (config, path))).transpose()?;
-    if platform.is_none() && chat.is_none() {
+    if platform.is_none() && (chat.is_none() || words.cluster.is_some()) {
         return Err(ConfigError::Nothing.into());
     }
     let mut counted = Vec::new();
@@ -231,9 +311,11 @@
         config.leave(chat.as_ref().map_or(0, |chat| chat.intake + chat.pool.connections));
         let counters = Rc::new(Counters::default());
         counted.push(("platform", counters.clone()));
-        start_platform(config, clock, counters, &shutdown, (hangups, path), chat.is_none()).await?;
+        start_platform(config, &words, clock, counters, &shutdown, (hangups, path)).await?;
     } else {
         spawn_local(reload::refuse(hangups));
+        // The chat front's servers stand in its file.
+        shutdown.note(Happening::CanServe);
     }
     if let Some(config) = chat {
         let counters = Rc::new(Counters::default());
@@ -247,13 +329,40 @@
     Ok(())
 }
 
-fn main() -> ExitCode {
+/// Logs to standard error, as text or as a line of JSON each.
+fn log(json: bool) {
     let level = std::env::var("CROFTSILL_LOG").ok().and_then(|text| text.parse().ok());
     let level = level.unwrap_or(tracing::level_filters::LevelFilter::INFO);
     let log = tracing_subscriber::fmt().with_max_level(level);
-    log.with_writer(std::io::stderr).with_ansi(false).with_target(false).init();
+    let log = log.with_writer(std::io::stderr).with_ansi(false).with_target(false);
+    #[cfg(feature = "cluster")]
+    if json {
+        return log.json().init();
+    }
+    let _ = json;
+    log.init();
+}
+
+fn main() -> ExitCode {
+    #[cfg(feature = "cluster")]
+    let words = {
+        let line = cli::Line::read();
+        if let Some(command) = line.command {
+            return command.run();
+        }
+        Ok(line.words)
+    };
+    #[cfg(not(feature = "cluster"))]
+    let words = words();
+    #[cfg(feature = "cluster")]
+    log(words.as_ref().is_ok_and(|words: &Words| words.log == cli::LogForm::Json));
+    #[cfg(not(feature = "cluster"))]
+    log(false);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let ended = runtime.map_err(StartError::Io).and_then(|runtime| LocalSet::new().block_on(&runtime, run()));
+    let ended = words.and_then(|words| {
+        let runtime = runtime.map_err(StartError::Io)?;
+        LocalSet::new().block_on(&runtime, run(words))
+    });
     match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
--- a/src/node/front/chat.rs
+++ b/src/node/front/chat.rs
@@ -237,7 +237,8 @@
         let content_type = Some(HeaderValue::from_static("application/json"));
         let (streamed, payload) = (!ask.whole, Payload { id, target, content_type, body });
         let answer = begin(&self.core, ask, (payload, room), self.shutdown.pending());
-        let mut reply = match answer.await {
+        let given = answer.await;
+        let mut reply = match given.map(|given| given.answer) {
             Ok(Answer::Events { form, pieces }) if streamed && form.streamed() => {
                 let mut reply = Response::new(Either::Right(Pieces::new(pieces)));
                 form.content_type.map(|kind| reply.headers_mut().insert(CONTENT_TYPE, kind));
--- a/src/node/front/intake.rs
+++ b/src/node/front/intake.rs
@@ -401,6 +401,13 @@
         (0..over).for_each(|_| self.make_room());
     }
 
+    /// Keeps to so many connections at most, within the room that there is; none lifts that.
+    pub fn limit(&self, most: Option<usize>) {
+        self.most.set(most.map_or(self.whole.0, |most| most.min(self.whole.0)));
+        let over = self.lines.borrow().len().saturating_sub(self.most.get());
+        (0..over).for_each(|_| self.make_room());
+    }
+
     fn spare(&self) -> usize {
         SPARE.0.min(self.most.get() / SPARE.1)
     }
--- a/src/node/front/mod.rs
+++ b/src/node/front/mod.rs
@@ -29,7 +29,7 @@
 use tower::{Service, ServiceExt};
 
 use super::Core;
-use super::request::{Answer, Caller, live};
+use super::request::{Caller, Given, live};
 use crate::api::NewRequest;
 use crate::node::process::readiness::Readiness;
 use crate::node::process::shutdown::{Pending, STILL_ARRIVING, Shutdown};
@@ -88,8 +88,8 @@
 /// when the client leaves, and the request still has to be withdrawn and let go of.
 pub fn begin<K: 'static>(
     core: &Core, ask: NewRequest, payload: (Payload, BodyRoom), keep: K,
-) -> oneshot::Receiver<Answer> {
-    let (caller, answer) = Caller::new();
+) -> oneshot::Receiver<Given> {
+    let (caller, answer) = Caller::new(payload.0.id.clone());
     let core = core.clone();
     spawn_local(async move {
         live(core, ask, payload, caller).await;
--- a/src/node/front/operator.rs
+++ b/src/node/front/operator.rs
@@ -8,6 +8,8 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+#[cfg(feature = "cluster")]
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{ALLOW, CONNECTION, CONTENT_TYPE, HeaderValue};
 use hyper::server::conn::http1;
@@ -20,6 +22,12 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
+#[cfg(feature = "cluster")]
+use crate::control::desk::{self, Call};
+#[cfg(feature = "cluster")]
+use crate::control::policy::DOCUMENT_MOST;
+#[cfg(feature = "cluster")]
+use crate::control::state::ChangeId;
 use crate::node::counters::add;
 use crate::node::list::fleet::Fleet;
 use crate::node::list::membership::UnknownId;
@@ -37,6 +45,11 @@
 /// How long, and how much of, what nobody asked for is read behind an answer: closed over unread bytes the connection
 /// would be reset and the answer lost.
 const LINGER: (Duration, usize) = (Duration::from_millis(500), 64 * 1024);
+/// For the document of a proposal to arrive, and for the ledger to answer a call.
+#[cfg(feature = "cluster")]
+const BODY_TIME: Duration = Duration::from_millis(500);
+#[cfg(feature = "cluster")]
+const ANSWER_TIME: Duration = Duration::from_millis(950);
 /// Longest id of an instance.
 const ID_MOST: usize = 128;
 
@@ -51,6 +64,18 @@
     Id,
     #[error("{0}")]
     Unknown(#[from] UnknownId),
+    #[cfg(feature = "cluster")]
+    #[error("base: must be a revision's number")]
+    Base,
+    #[cfg(feature = "cluster")]
+    #[error("the document must come within half a second, as UTF-8 text of at most {DOCUMENT_MOST} bytes")]
+    Body,
+    #[cfg(feature = "cluster")]
+    #[error("a change's number has 16 hexadecimal digits, a revision's is decimal")]
+    Number,
+    #[cfg(feature = "cluster")]
+    #[error("the ledger gives no answer")]
+    Ledger,
     #[error("cannot serve: {0}")]
     NotServing(&'static str),
 }
@@ -61,6 +86,10 @@
             No::Path | No::Unknown(_) => StatusCode::NOT_FOUND,
             No::Method(_) => StatusCode::METHOD_NOT_ALLOWED,
             No::Id => StatusCode::BAD_REQUEST,
+            #[cfg(feature = "cluster")]
+            No::Base | No::Body | No::Number => StatusCode::BAD_REQUEST,
+            #[cfg(feature = "cluster")]
+            No::Ledger => StatusCode::SERVICE_UNAVAILABLE,
             No::NotServing(_) => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
@@ -74,12 +103,71 @@
     fleet: Rc<Fleet>,
     shutdown: Shutdown,
     partners: Partners,
+    #[cfg(feature = "cluster")]
+    conductors: Option<desk::Handle>,
 }
 
 impl Operator {
     /// A front for this fleet and process, and for the other process in an upgrade.
     pub fn new(fleet: Rc<Fleet>, shutdown: Shutdown, partners: Partners) -> Self {
-        Operator { fleet, shutdown, partners }
+        Operator {
+            fleet,
+            shutdown,
+            partners,
+            #[cfg(feature = "cluster")]
+            conductors: None,
+        }
+    }
+
+    /// The same, for a conductor that knows others.
+    #[cfg(feature = "cluster")]
+    pub fn among(self, conductors: Option<desk::Handle>) -> Self {
+        Operator { conductors, ..self }
+    }
+
+    /// Calls about all conductors; none where it is not one, or conductors do not know one another.
+    #[cfg(feature = "cluster")]
+    async fn shared(&self, request: Request<Incoming>) -> Result<Reply, No> {
+        let handle = self.conductors.as_ref().ok_or(No::Path)?;
+        let path = request.uri().path().to_owned();
+        let must =
+            |wanted: Method, named| (*request.method() == wanted).then_some(()).ok_or(No::Method(named));
+        let call = match path.split('/').skip(1).collect::<Vec<_>>()[..] {
+            ["policy"] if request.method() == Method::POST => {
+                let base = request.uri().query().and_then(|query| query.strip_prefix("base="));
+                let base = base.map(|base| base.parse().map_err(|_| No::Base)).transpose()?;
+                let body = Limited::new(request.into_body(), DOCUMENT_MOST).collect();
+                let body = timeout(BODY_TIME, body).await.map_err(|_| No::Body)?.map_err(|_| No::Body)?;
+                let document = String::from_utf8(body.to_bytes().into()).map_err(|_| No::Body)?;
+                Call::Propose { document, base }
+            }
+            ["policy"] => must(Method::GET, "GET or POST").map(|()| Call::Status)?,
+            ["peers"] => must(Method::GET, "GET").map(|()| Call::Status)?,
+            ["policy", "changes", id] => {
+                must(Method::GET, "GET")?;
+                Call::Outcome(u64::from_str_radix(id, 16).map(ChangeId).map_err(|_| No::Number)?)
+            }
+            ["policy", "revisions", revision] => {
+                must(Method::GET, "GET")?;
+                Call::Document(revision.parse().map_err(|_| No::Number)?)
+            }
+            ["peers", name, "remove"] => {
+                must(Method::POST, "POST")?;
+                Call::Remove(name.into())
+            }
+            _ => return Err(No::Path),
+        };
+        let told = timeout(ANSWER_TIME, handle.call(call)).await.ok().flatten().ok_or(No::Ledger)?;
+        let mut reply = Response::new(Full::new(format!("{:#}\n", told.body).into()));
+        *reply.status_mut() = StatusCode::from_u16(told.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        reply.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        Ok(reply)
+    }
+
+    #[cfg(not(feature = "cluster"))]
+    async fn shared(&self, _: Request<Incoming>) -> Result<Reply, No> {
+        Err(No::Path)
     }
 
     async fn handle(&self, method: &Method, path: &str) -> Result<String, No> {
@@ -135,14 +223,25 @@
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Reply {
-        let (status, text, allow) = match self.handle(request.method(), request.uri().path()).await {
+        let counters = &self.fleet.core().counters;
+        let handled = match self.handle(request.method(), request.uri().path()).await {
+            Err(No::Path) => match self.shared(request).await {
+                Ok(reply) => {
+                    let yes = reply.status().is_success();
+                    add(if yes { &counters.calls } else { &counters.calls_refused });
+                    return reply;
+                }
+                Err(no) => Err(no),
+            },
+            handled => handled,
+        };
+        let (status, text, allow) = match handled {
             Ok(text) => (StatusCode::OK, text, None),
             Err(no) => {
                 let allow = if let No::Method(named) = no { Some(named) } else { None };
                 (no.status(), format!("{no}\n"), allow)
             }
         };
-        let counters = &self.fleet.core().counters;
         add(if status == StatusCode::OK { &counters.calls } else { &counters.calls_refused });
         let mut reply = Response::new(Full::new(text.into()));
         *reply.status_mut() = status;
--- a/src/node/front/platform.rs
+++ b/src/node/front/platform.rs
@@ -33,6 +33,8 @@
 const TIMEOUT_MOST: u64 = 3_600_000;
 /// When a client that found no room should come back.
 const SHED_WAIT: Micros = 1_000_000;
+/// Tells by which revision of the policy an answer was decided, where conductors have one.
+const REVISION: &str = "policy-revision";
 /// Taken off a client's patience for the way of request and answer.
 const ON_THE_WAY: Micros = 5_000;
 
@@ -134,12 +136,16 @@
                     plain(fault.status(), format!("{fault}\n"))
                 }
             },
-            (&Method::GET, "/-/ready") if self.shutdown.readiness().ready() => {
+            (&Method::GET, "/-/ready") if self.shutdown.readiness().ready() && !self.core.door.shut() => {
                 plain(StatusCode::OK, "ready\n")
             }
             (&Method::GET, "/-/ready") => {
                 let drained = self.shutdown.readiness().drained();
-                let why = if drained { "drained by operators\n" } else { "no list of instances yet\n" };
+                let why = match (drained, self.core.door.shut()) {
+                    (true, _) => "drained by operators\n",
+                    (_, true) => "not known to the other conductors, or cut off from them\n",
+                    _ => "no list of instances yet\n",
+                };
                 plain(StatusCode::SERVICE_UNAVAILABLE, why)
             }
             (&Method::GET, "/-/counters") => plain(StatusCode::OK, self.core.counters.line() + "\n"),
@@ -184,13 +190,15 @@
         let content_type = request.headers().get(CONTENT_TYPE).cloned();
         let payload = Payload { id, target, content_type, body };
         let answer = begin(&self.core, ask, (payload, room), (open, self.shutdown.pending()));
-        Ok(match answer.await {
-            Ok(Answer::Events { form, pieces }) => stream(form.content_type, pieces),
-            Ok(Answer::Refused { come_back }) => refusal(come_back),
-            Ok(Answer::Failed) | Err(_) => {
-                plain(StatusCode::BAD_GATEWAY, "the request failed and may have run\n")
-            }
-        })
+        let (answer, revision) =
+            answer.await.map_or((Answer::Failed, None), |given| (given.answer, given.revision));
+        let mut reply = match answer {
+            Answer::Events { form, pieces } => stream(form.content_type, pieces),
+            Answer::Refused { come_back } => refusal(come_back),
+            Answer::Failed => plain(StatusCode::BAD_GATEWAY, "the request failed and may have run\n"),
+        };
+        revision.map(|revision| reply.headers_mut().insert(REVISION, HeaderValue::from(revision)));
+        Ok(reply)
     }
 }
 
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -5,6 +5,7 @@
 //! the fleet's [`list`] and the life of the [`process`] itself.
 
 pub mod counters;
+pub mod door;
 pub mod front;
 pub mod list;
 pub mod planner;
@@ -63,6 +64,8 @@
     pub upstream: Rc<upstream::attempt::Upstream>,
     /// Counts.
     pub counters: Rc<counters::Counters>,
+    /// Takes requests in.
+    pub door: Rc<door::Door>,
 }
 
 /// Carries out what a planner wants of the fleet as a whole.
--- a/src/node/planner.rs
+++ b/src/node/planner.rs
@@ -89,6 +89,11 @@
         self.put(Input::Tell(Event::HostsFailed));
     }
 
+    /// Tells the settings by which requests are decided that are brought from now on.
+    pub fn policy(&self, settings: Settings) {
+        self.put(Input::Tell(Event::Policy(Rc::new(settings))));
+    }
+
     /// Tells how a probe ended.
     pub fn probed(&self, host: HostId, outcome: Outcome, load: Option<Load>) {
         self.put(Input::Tell(Event::Probed { host, outcome, load }));
--- a/src/node/process/succession.rs
+++ b/src/node/process/succession.rs
@@ -61,6 +61,9 @@
 /// The reading half of a link.
 type Lines = BufReader<OwnedReadHalf>;
 
+/// The two ends of the link between an older and a newer process.
+pub type Link = (BufReader<OwnedReadHalf>, OwnedWriteHalf);
+
 async fn hear(lines: &mut Lines) -> Result<Message, LinkError> {
     let mut line = Vec::new();
     lines.take(LINE_MOST).read_until(b'\n', &mut line).await?;
@@ -112,7 +115,7 @@
     pub listener: TcpListener,
     /// What the older process knew.
     pub state: State,
-    link: (Lines, OwnedWriteHalf),
+    link: Link,
 }
 
 /// Asks an older process of this conductor, if there is one, for what it has.
@@ -218,7 +221,7 @@
     }
 
     /// Lives one upgrade through: until the other process is gone, or is given up.
-    async fn live(&self, side: Side, (mut lines, mut half): (Lines, OwnedWriteHalf), first: Option<Message>) {
+    async fn live(&self, side: Side, (mut lines, mut half): Link, first: Option<Message>) {
         let (sender, mut told) = mpsc::channel(WAITING);
         first.into_iter().for_each(|message| drop(sender.try_send(message)));
         self.partners.set(side, Some(sender));
@@ -274,7 +277,7 @@
     }
 
     /// Goes on with the older process's link: tells it that this one serves, and what operators say meanwhile.
-    pub async fn succeed(&self, inherited: (Lines, OwnedWriteHalf)) {
+    pub async fn succeed(&self, inherited: Link) {
         add(&self.fleet.core().counters.inherited);
         self.live(Side::Newer, inherited, Some(Message::Serves)).await;
     }
@@ -307,7 +310,7 @@
         }
     }
 
-    async fn give(&self, stream: UnixStream) -> Result<(Lines, OwnedWriteHalf), LinkError> {
+    async fn give(&self, stream: UnixStream) -> Result<Link, LinkError> {
         let mut line = Vec::new();
         // Byte for byte up to the end of the line: the stream is needed whole to pass the socket.
         while line.last() != Some(&b'\n') {
@@ -349,7 +352,7 @@
 
 impl Inherited {
     /// Takes it apart: what the process starts with, and the link that goes on.
-    pub fn parts(self) -> (TcpListener, State, (Lines, OwnedWriteHalf)) {
+    pub fn parts(self) -> (TcpListener, State, Link) {
         (self.listener, self.state, self.link)
     }
 }
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -8,9 +8,11 @@
 use tokio::time::{Instant, sleep_until, timeout};
 
 use super::counters::add;
+use super::door::{TurnedAway, patience};
 use super::planner::{End, Order, Seat};
 use super::{Core, span};
 use crate::api::{AttemptId, HostId, Load, Micros, NewRequest, Outcome};
+use crate::control::state::Revision;
 use crate::node::upstream::attempt::{First, Payload};
 use crate::node::upstream::events::{Form, Piece, StreamBroken};
 use crate::node::upstream::relay::{self, Passed};
@@ -39,19 +41,41 @@
     Failed,
 }
 
+impl Answer {
+    fn name(&self) -> &'static str {
+        match self {
+            Answer::Events { .. } => "served",
+            Answer::Refused { .. } => "refused",
+            Answer::Failed => "failed",
+        }
+    }
+}
+
+/// An answer, and the revision of the policy by which it was decided where conductors have one.
+pub struct Given {
+    /// The answer.
+    pub answer: Answer,
+    /// The revision.
+    pub revision: Option<Revision>,
+}
+
 /// The way back to the client. It shows when the client leaves.
-pub struct Caller(Option<oneshot::Sender<Answer>>);
+pub struct Caller {
+    way: Option<oneshot::Sender<Given>>,
+    id: Rc<str>,
+    revision: Option<Revision>,
+}
 
 impl Caller {
-    /// A caller, and where its front waits for the answer.
-    pub fn new() -> (Self, oneshot::Receiver<Answer>) {
+    /// The caller of the request with this id, and where its front waits for the answer.
+    pub fn new(id: Rc<str>) -> (Self, oneshot::Receiver<Given>) {
         let (sender, receiver) = oneshot::channel();
-        (Caller(Some(sender)), receiver)
+        (Caller { way: Some(sender), id, revision: None }, receiver)
     }
 
     /// Waits until the client leaves; never ends once it has its answer.
     async fn left(&mut self) {
-        match &mut self.0 {
+        match &mut self.way {
             Some(sender) => sender.closed().await,
             None => std::future::pending().await,
         }
@@ -59,7 +83,11 @@
 
     /// Gives the final answer, once; false when the client has left.
     fn answer(&mut self, answer: Answer) -> bool {
-        self.0.take().is_some_and(|sender| sender.send(answer).is_ok())
+        let Some(way) = self.way.take() else { return false };
+        if let Some(revision) = self.revision {
+            tracing::info!("request {}: {} under revision {revision}", self.id, answer.name());
+        }
+        way.send(Given { answer, revision: self.revision }).is_ok()
     }
 }
 
@@ -111,7 +139,25 @@
 
 /// Lives one request through. The planner decides at each point of choice; exactly one final answer goes to the
 /// caller, and nothing stays held or sent when this ends. `room` is what the payload takes up, given back with it.
-pub async fn live<R>(core: Core, ask: NewRequest, (payload, room): (Payload, R), mut caller: Caller) {
+pub async fn live<R>(core: Core, mut ask: NewRequest, (payload, room): (Payload, R), mut caller: Caller) {
+    // 0. At the door: which policy decides it to its end, or that this process takes nothing in.
+    let arrived = Instant::now();
+    let passed = tokio::select! {
+        biased;
+        passed = core.door.pass(&core.planner) => passed,
+        () = caller.left() => return add(&core.counters.left),
+    };
+    match passed {
+        Ok(Some(active)) => {
+            caller.revision = Some(active.revision);
+            ask.time_left = patience(&ask, &active) - arrived.elapsed().as_micros() as Micros;
+        }
+        Ok(None) => {}
+        Err(TurnedAway(come_back)) => {
+            let told = caller.answer(Answer::Refused { come_back: Some(come_back) });
+            return add(if told { &core.counters.refused } else { &core.counters.left });
+        }
+    }
     let deadline = Instant::now() + span(ask.time_left);
     let overdue = deadline + OVERDUE;
     let counters = core.counters.clone();
--- a/src/node/upstream/pool.rs
+++ b/src/node/upstream/pool.rs
@@ -202,6 +202,8 @@
     room: Arc<Semaphore>,
     /// Connections left to another process of this conductor.
     left: Cell<usize>,
+    /// Connections that the policy sets aside.
+    wanted_left: Cell<usize>,
     counters: Rc<Counters>,
 }
 
@@ -210,7 +212,14 @@
     pub fn new(mut limits: PoolLimits, counters: Rc<Counters>) -> Self {
         limits.idle = limits.idle.min(IDLE_LONGEST);
         let room = Arc::new(Semaphore::new(limits.connections));
-        Pool { shelves: RefCell::default(), limits, room, left: Cell::new(0), counters }
+        Pool {
+            shelves: RefCell::default(),
+            limits,
+            room,
+            left: Cell::new(0),
+            wanted_left: Cell::new(0),
+            counters,
+        }
     }
 
     /// Keeps to a part of the connections while another process of this conductor has the other, or takes the whole again.
@@ -223,6 +232,21 @@
         }
     }
 
+    /// Keeps to so many connections at most, within the limit of the start; none lifts that. What is in use beyond it ends
+    /// with its exchange.
+    pub fn limit(&self, most: Option<usize>) {
+        self.room.add_permits(self.left.take());
+        let others = self.limits.connections.saturating_sub(most.unwrap_or(self.limits.connections));
+        self.wanted_left.set(others);
+        self.trim();
+    }
+
+    /// Sets connections aside that have become free since the limit fell.
+    fn trim(&self) {
+        let missing = self.wanted_left.get().saturating_sub(self.left.get());
+        self.left.set(self.left.get() + self.room.forget_permits(missing));
+    }
+
     /// Takes in where an instance listens, or that it is gone. A new address makes old connections useless.
     pub fn place(&self, host: HostId, site: Option<Site>) {
         let mut shelves = self.shelves.borrow_mut();
@@ -347,6 +371,7 @@
     pub async fn tidy(&self) {
         loop {
             tokio::time::sleep(self.limits.idle / 8).await;
+            self.trim();
             for shelf in self.shelves.borrow_mut().values_mut() {
                 shelf.idle.retain(|c| c.since.elapsed() < self.limits.idle && !c.sender.is_closed());
             }
--- /dev/null
+++ b/src/peers/mod.rs
@@ -0,0 +1,78 @@
+//! Conductors that know one another: the [`roster`] says who they are, [`link`] carries their words.
+
+pub mod link;
+pub mod roster;
+
+use serde::{Deserialize, Serialize};
+
+use crate::api::Micros;
+use crate::control::report::{Grant, Report};
+use crate::control::state::Command;
+use crate::ledger::types::Message;
+
+/// The version of what crosses a link. Another one is turned away at the hello.
+pub const VERSION: u16 = 1;
+/// Longest frame, in bytes.
+pub const FRAME_MOST: usize = 1024 * 1024;
+
+/// How a link begins, both ways.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hello {
+    /// Tells this protocol from others.
+    pub magic: [u8; 8],
+    /// Its version.
+    pub version: u16,
+    /// The fleet.
+    pub cluster: String,
+    /// Who speaks.
+    pub name: String,
+    /// To whom it means to speak.
+    pub to: String,
+}
+
+impl Hello {
+    /// The hello of one conductor to another.
+    pub fn new(cluster: &str, name: &str, to: &str) -> Self {
+        let magic = *b"croftsil";
+        Hello { magic, version: VERSION, cluster: cluster.into(), name: name.into(), to: to.into() }
+    }
+
+    /// Why it is turned away, if it is.
+    pub fn fault(&self, cluster: &str, name: &str) -> Option<&'static str> {
+        let wanted = Hello::new(cluster, &self.name, name);
+        if self.magic != wanted.magic {
+            Some("no conductor speaks there")
+        } else if self.version != VERSION {
+            Some("speaks another version")
+        } else if self.cluster != cluster {
+            Some("belongs to another cluster")
+        } else if self.to != name {
+            Some("looks for another conductor")
+        } else {
+            None
+        }
+    }
+}
+
+/// The moment at which a leader spoke, on its own clock, and in which term. A follower that knows it as its leader sends
+/// it back: by that a leader knows until when a majority held it for one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beat {
+    /// The term.
+    pub term: u64,
+    /// The moment.
+    pub at: Micros,
+}
+
+/// What conductors tell each other.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Word {
+    /// Between the parts of the ledger.
+    Ledger(Message),
+    /// To the leader: where I stand.
+    Report(Report, Option<Beat>),
+    /// From the leader.
+    Answer(Option<Grant>, Beat),
+    /// To the leader: please propose this.
+    Ask(Command),
+}
--- /dev/null
+++ b/src/peers/roster.rs
@@ -0,0 +1,132 @@
+//! The operator's file: who the conductors are.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use serde::Deserialize;
+
+use crate::control::state::{Agreed, NAME_MOST, Peer};
+use crate::node::process::config::ConfigError;
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+    cluster: String,
+    store: PathBuf,
+    #[serde(default)]
+    join: bool,
+    peers: Vec<Line>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Line {
+    name: String,
+    address: SocketAddr,
+    site: String,
+    via: Option<SocketAddr>,
+}
+
+/// The conductors as one of them is told.
+#[derive(Clone, Debug)]
+pub struct Roster {
+    /// The fleet's name.
+    pub cluster: String,
+    /// Where this conductor keeps its part of the ledger.
+    pub store: PathBuf,
+    /// This conductor comes to a fleet that runs already.
+    pub join: bool,
+    /// This conductor.
+    pub me: Peer,
+    /// All that the file names, this one too.
+    pub peers: Vec<Peer>,
+    /// Where another address than a peer's own leads to it.
+    pub via: BTreeMap<String, SocketAddr>,
+}
+
+impl Roster {
+    /// Reads the file, for the conductor of this name.
+    pub fn read(path: &Path, name: &str) -> Result<Self, ConfigError> {
+        let shown = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|e| ConfigError::Read(shown.clone(), e))?;
+        let base = path.parent().unwrap_or(Path::new("."));
+        Self::parse(&text, base, name).map_err(|e| ConfigError::Form(shown, e))
+    }
+
+    fn parse(text: &str, base: &Path, name: &str) -> Result<Self, String> {
+        let file: File = toml::from_str(text).map_err(|e| {
+            let line = e.span().and_then(|span| Some(text.get(..span.start)?.matches('\n').count() + 1));
+            let line = line.map_or(String::new(), |line| format!("line {line}: "));
+            format!("{line}{}", e.message().replace('\n', " "))
+        })?;
+        let fits = |name: &str| {
+            let known = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+            (1..=NAME_MOST).contains(&name.len()) && name.chars().all(known)
+        };
+        if !fits(&file.cluster) {
+            return Err(format!("cluster: \"{}\" is no name", file.cluster));
+        }
+        let (mut peers, mut via) = (BTreeMap::new(), BTreeMap::new());
+        for line in file.peers {
+            if !fits(&line.name) || !fits(&line.site) {
+                return Err(format!("peers: \"{}\" at \"{}\": not both are names", line.name, line.site));
+            }
+            via.extend(line.via.map(|at| (line.name.clone(), at)));
+            let peer = Peer { name: line.name.clone(), address: line.address, site: line.site };
+            if peers.values().any(|p: &Peer| p.address == peer.address) {
+                return Err(format!("peers: the address {} stands there twice", peer.address));
+            }
+            if peers.insert(line.name.clone(), peer).is_some() {
+                return Err(format!("peers: \"{}\" stands there twice", line.name));
+            }
+        }
+        let me = peers
+            .get(name)
+            .cloned()
+            .ok_or_else(|| format!("peers: this conductor, \"{name}\", is not there"))?;
+        let store = base.join(file.store);
+        let (cluster, join) = (file.cluster, file.join);
+        Ok(Roster { cluster, store, join, me, peers: peers.into_values().collect(), via })
+    }
+
+    /// What the founders agree on before the first entry; none for one that joins them later.
+    pub fn founders(&self) -> Option<Agreed> {
+        (!self.join).then(|| Agreed::new(self.peers.iter().cloned()))
+    }
+
+    /// Where to connect for a peer.
+    pub fn way(&self, peer: &Peer) -> SocketAddr {
+        self.via.get(&peer.name).copied().unwrap_or(peer.address)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn parse(text: &str) -> Result<Roster, String> {
+        Roster::parse(text, Path::new("/x"), "n1")
+    }
+
+    const TWO: &str = "cluster = \"c\"\nstore = \"l.redb\"\n[[peers]]\nname = \"n1\"\naddress = \"127.0.0.1:1\"\nsite = \"a\"\n\
+        [[peers]]\nname = \"n2\"\naddress = \"127.0.0.1:2\"\nsite = \"b\"\nvia = \"127.0.0.1:9\"\n";
+
+    #[test]
+    fn a_file_tells_who_there_is_and_each_way() {
+        let roster = parse(TWO).expect("a roster");
+        assert_eq!(roster.store, Path::new("/x/l.redb"));
+        assert_eq!(roster.way(&roster.peers[0]).port(), 1);
+        assert_eq!(roster.way(&roster.peers[1]).port(), 9);
+    }
+
+    #[test]
+    fn faults_name_what_is_wrong() {
+        let fault = |from: &str, to: &str| parse(&TWO.replace(from, to)).expect_err("a fault");
+        assert!(fault("\"n1\"", "\"n3\"").contains("\"n1\", is not there"));
+        assert!(fault("\"n2\"", "\"n1\"").contains("\"n1\" stands there twice"));
+        assert!(fault("127.0.0.1:2", "127.0.0.1:1").contains("127.0.0.1:1 stands there twice"));
+        assert!(fault("via =", "vai =").starts_with("line 11: "));
+        assert!(fault("\"c\"", "\"c d\"").contains("is no name"));
+    }
+}
