Tell a wrong command line in one line, as before

Cause: clap writes several; the test on operator files, which asks for one line that names the usage, failed. Change: the first line of its fault and where to find the usage. Checked: that test, all others.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -199,9 +199,17 @@
 }
 
 impl Line {
-    /// The program's command line; `--help` and faults end the process.
+    /// The program's command line. `--help` ends the process, and so does a fault, which is told in one line.
     pub fn read() -> Self {
-        let mut line = Line::parse();
+        let mut line = Line::try_parse().unwrap_or_else(|fault| {
+            if !fault.use_stderr() {
+                fault.exit();
+            }
+            let text = fault.to_string();
+            let first = text.lines().next().unwrap_or_default().trim_start_matches("error: ");
+            eprintln!("croftsill: {first}; usage: croftsill --help");
+            std::process::exit(fault.exit_code());
+        });
         if let Some(Command::Serve(words)) = &line.command {
             (line.words, line.command) = (words.clone(), None);
         }
