--- a/rig/src/load.rs
+++ b/rig/src/load.rs
@@ -16,7 +16,7 @@
 use crate::{Clock, Micros};
 
 /// For a whole exchange; clients give up after it.
-const PATIENCE: Duration = Duration::from_secs(8);
+pub const PATIENCE: Duration = Duration::from_secs(8);
 
 /// What became of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -150,7 +150,23 @@
         }
     };
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
-    match runtime.and_then(|runtime| runtime.block_on(run)) {
+    // Told to end, the rig ends what it started.
+    let told = async {
+        use tokio::signal::unix::{SignalKind, signal};
+        let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = int.recv() => {}
+        }
+        Err(std::io::Error::other("told to end"))
+    };
+    let either = async {
+        tokio::select! {
+            done = run => done,
+            told = told => told,
+        }
+    };
+    match runtime.and_then(|runtime| runtime.block_on(either)) {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
         Err(fault) => {
