--- a/src/cli.rs
+++ b/src/cli.rs
@@ -291,8 +291,14 @@
                     let line = |peer: &Value| {
                         let votes = if peer["votes"] == true { "votes" } else { "learns" };
                         let live = if peer["live"] == true { "registered" } else { "away" };
+                        let heard = if peer["heard"] == true { "heard" } else { "silent" };
                         let text = |key: &str| plain(&peer[key]);
-                        format!("{}  {}  {}  {votes}  {live}", text("name"), text("address"), text("site"))
+                        format!(
+                            "{}  {}  {}  {votes}  {live}  {heard}",
+                            text("name"),
+                            text("address"),
+                            text("site")
+                        )
                     };
                     peers.as_array().into_iter().flatten().map(line).collect::<Vec<_>>().join("\n")
                 });
--- a/src/control/desk.rs
+++ b/src/control/desk.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::Rng;
+use rand::RngExt;
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
@@ -25,6 +25,7 @@
 use crate::ledger::store::Disk;
 use crate::ledger::{Ledger, LedgerError, number};
 use crate::node::Clock;
+use crate::peers::alive::{Alive, Change};
 use crate::peers::link::{Links, News, hear};
 use crate::peers::roster::Roster;
 use crate::peers::{Beat, Word};
@@ -142,11 +143,13 @@
                 Err(fault) => tracing::error!("peers: nobody can be heard: {fault}"),
             }
             let links = Links::new(cluster, me, news);
+            let alive = Alive::new(&setup.roster.me.name, setup.clock.now(), rand::rng().random());
             let (setup, ledger) = (setup, Some(ledger));
             Desk {
                 setup,
                 right,
                 links,
+                alive,
                 ledger,
                 stopped: None,
                 coordinator: None,
@@ -175,6 +178,7 @@
     setup: Setup,
     right: Arc<Right>,
     links: Links,
+    alive: Alive,
     /// None once nothing can be stored any more.
     ledger: Option<Ledger<Disk>>,
     stopped: Option<String>,
@@ -201,7 +205,7 @@
         self.reload();
         loop {
             tokio::select! {
-                _ = ticks.tick() => if let Some(ledger) = &mut self.ledger { ledger.tick() },
+                _ = ticks.tick() => self.tick(),
                 _ = heard.recv_many(&mut news, 64) => {}
                 Some((call, answer)) = calls.recv() => self.call(call, answer),
             }
@@ -212,6 +216,21 @@
         }
     }
 
+    fn tick(&mut self) {
+        if let Some(ledger) = &mut self.ledger {
+            ledger.tick();
+        }
+        for (to, datagram) in self.alive.due(self.now()) {
+            self.links.send(&to, Word::Alive(datagram));
+        }
+        for change in self.alive.changes() {
+            match change {
+                Change::Heard(name) => tracing::info!("peers: {name} is heard"),
+                Change::Silent(name) => tracing::warn!("peers: {name} is silent"),
+            }
+        }
+    }
+
     fn now(&self) -> Micros {
         self.setup.clock.now()
     }
@@ -261,6 +280,7 @@
                     self.right.change(None, |gate| gate.granted(grant));
                 }
             }
+            Word::Alive(datagram) => self.alive.hear(now, &from, &datagram),
             Word::Ask(command) => {
                 let own = match &command {
                     Command::Register { name, .. } => *name == from,
@@ -364,6 +384,7 @@
         {
             ways.entry(peer.name.clone()).or_insert_with(|| self.setup.roster.way(peer));
         }
+        self.alive.know(ways.keys().cloned().collect());
         self.links.know(ways, agreed.sessions.clone());
         let active = (agreed.revision != self.right.active().revision)
             .then(|| agreed.documents.get(&agreed.revision))
@@ -567,7 +588,7 @@
         let members = members.values().map(|peer| {
             json!({
                 "name": peer.name, "address": peer.address, "site": peer.site, "votes": voters.contains(&peer.name),
-                "live": sessions.contains_key(&peer.name),
+                "live": sessions.contains_key(&peer.name), "heard": self.alive.hears(&peer.name),
             })
         });
         status["peers"] = members.collect();
--- a/src/peers/link.rs
+++ b/src/peers/link.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use futures_util::SinkExt;
-use rand::Rng;
+use rand::RngExt;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, mpsc};
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -1,5 +1,7 @@
-//! Conductors that know one another: the [`roster`] says who they are, [`link`] carries their words.
+//! Conductors that know one another: the [`roster`] says who they are, [`link`] carries their words, [`alive`] tells who is
+//! heard.
 
+pub mod alive;
 pub mod link;
 pub mod roster;
 
@@ -75,4 +77,6 @@
     Answer(Option<Grant>, Beat),
     /// To the leader: please propose this.
     Ask(Command),
+    /// Who is heard: a datagram of the library's.
+    Alive(Vec<u8>),
 }
