--- a/src/control/policy.rs
+++ b/src/control/policy.rs
@@ -238,10 +238,12 @@
         if let Some(name) = self.sites.keys().find(|name| !sites.contains(name)) {
             return Err(unknown("sites", name));
         }
+        if let Some(name) = classes.iter().find(|name| !self.classes.contains_key(*name)) {
+            return Err(here(format!("classes.{name}"), "is missing"));
+        }
         let mut after = settings.clone();
         for (name, class) in classes.iter().zip(&mut after.classes) {
-            let terms = self.classes.get(name);
-            let terms = terms.ok_or_else(|| here(format!("classes.{name}"), "is missing"))?;
+            let Some(terms) = self.classes.get(name) else { continue };
             (class.aim, class.aim_per_1000) = (terms.aim, terms.aim_per_1000);
             (class.deadline, class.token_aim) = (terms.deadline, terms.token_aim);
             (class.worth, class.late_worth) = (terms.worth, terms.late_worth);
