Strike a removed conductor at once, and take only an own address's refusal for an end

Need: a conductor that was removed while it slept went on, as the log no longer reached it; a forwarder that refuses proved an end that it cannot know of; a second Join could have changed a member's address and a voter into a learner. Change: former members are kept and answered that their session is over; a refusal counts at the conductor's own address, or where the file says that its forwarder refuses just so; members keep their address and part. Checked: the removed sleeper wakes, is told, and is not ready; all tests with processes.

--- a/rig/src/faults.rs
+++ b/rig/src/faults.rs
@@ -70,11 +70,12 @@
     }
 
     /// The process behind it has ended: connections are refused, as its own address does.
-    pub fn refuse(&self) {
-        if let Ok(mut accepting) = self.accepting.lock()
-            && let Some(task) = accepting.take()
-        {
+    pub async fn refuse(&self) {
+        let task = self.accepting.lock().ok().and_then(|mut accepting| accepting.take());
+        if let Some(task) = task {
             task.abort();
+            // Its listener is gone when it has ended.
+            let _ = task.await;
         }
     }
 
--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -6,14 +6,17 @@
 use serde_json::{Value, json};
 use tempfile::TempDir;
 
-use crate::Clock;
 use crate::conductor::{Conductor, Home, PATIENCE, Place, free_home};
 use crate::faults::{Faults, Link};
 use crate::stand_ins::{Instance, Record, Role, discovery, instance};
+use crate::{Clock, Micros};
 
 /// The sites of every fleet here.
 pub const SITES: &[&str] = &["daejeon-1", "sejong-1"];
 
+/// A time in which a conductor could not answer: from a signal to its undoing, or that of a kill.
+pub type Away = (usize, Micros, Micros);
+
 /// A fleet.
 pub struct Fleet {
     /// The conductors, by their order.
@@ -97,7 +100,7 @@
         let (name, address, site) = (&place.name, place.peers, &place.site);
         text += &format!("\n[[peers]]\nname = \"{name}\"\naddress = \"{address}\"\nsite = \"{site}\"\n");
         if let Some(link) = links.get(&(me, n)) {
-            text += &format!("via = \"{}\"\n", link.address);
+            text += &format!("via = \"{}\"\nvia_refuses = true\n", link.address);
         }
     }
     text
@@ -162,12 +165,15 @@
         Ok(true)
     }
 
-    /// Kills a conductor; links to it refuse connections, as its own address does.
-    pub async fn kill(&mut self, number: usize) {
+    /// Kills a conductor; links to it refuse connections, as its own address does. The time in which that came about.
+    pub async fn kill(&mut self, number: usize) -> Away {
+        let before = self.clock.now();
         self.conductors[number].kill().await;
+        let away = (number, before, self.clock.now());
         for (_, link) in self.links.iter().filter(|((_, to), _)| *to == number) {
-            link.refuse();
+            link.refuse().await;
         }
+        away
     }
 
     /// Starts a conductor again.
--- a/rig/src/policy.rs
+++ b/rig/src/policy.rs
@@ -13,7 +13,7 @@
 use crate::check::{self, Change, Stand, Told};
 use crate::conductor::{PATIENCE, call};
 use crate::faults::Faults;
-use crate::fleet::{Fleet, Size, document};
+use crate::fleet::{Away, Fleet, Size, document};
 use crate::load::{Asked, Load, Outcome, PATIENCE as LOAD_PATIENCE};
 use crate::{Clock, Micros};
 
@@ -101,9 +101,6 @@
     }
 }
 
-/// A time in which a conductor could not answer: from a signal to its undoing, or the moment of a kill.
-pub type Away = (usize, Micros, Micros);
-
 /// All checks on a history. `away` excuses answers that were cut short.
 pub fn findings(
     fleet: &Fleet, asked: &[Asked], changes: &[Change], stands: &[Stand], away: &[Away],
@@ -172,16 +169,12 @@
         let what = rng.random_range(0..9);
         let line = match what {
             0 if fleet.conductors[who].runs() && !asleep(&stopped, who) => {
-                let now = fleet.clock.now();
-                away.push((who, now, now));
-                fleet.kill(who).await;
+                away.push(fleet.kill(who).await);
                 format!("n{who:02} is killed")
             }
             1 => match fleet.leader().await.filter(|leader| !asleep(&stopped, *leader)) {
                 Some(leader) => {
-                    let now = fleet.clock.now();
-                    away.push((leader, now, now));
-                    fleet.kill(leader).await;
+                    away.push(fleet.kill(leader).await);
                     format!("n{leader:02}, which leads, is killed")
                 }
                 None => continue,
--- a/src/control/desk.rs
+++ b/src/control/desk.rs
@@ -262,6 +262,15 @@
                     tracing::warn!("ledger: a message of {from} is passed over: {fault}");
                 }
             }
+            Word::Report(report, _) if ledger.agreed().gone.contains_key(&from) => {
+                self.links.send(&from, Word::Struck(report.session));
+            }
+            Word::Struck(session) => {
+                tracing::error!(
+                    "peers: {from} says that this conductor is a member no longer; it takes no requests"
+                );
+                self.right.change(None, |gate| gate.strike(session));
+            }
             Word::Report(report, echo) => {
                 let term = ledger.term();
                 if let Some(beat) = echo.filter(|beat| beat.term == term && beat.at <= now) {
@@ -378,13 +387,11 @@
         let now = self.now();
         let Some(ledger) = &self.ledger else { return };
         let agreed = ledger.agreed();
-        let known = agreed.members.values().chain(&self.setup.roster.peers);
-        let mut ways = BTreeMap::new();
-        for peer in known.filter(|peer| agreed.members.is_empty() || agreed.members.contains_key(&peer.name))
-        {
-            ways.entry(peer.name.clone()).or_insert_with(|| self.setup.roster.way(peer));
-        }
-        self.alive.know(ways.keys().cloned().collect());
+        // One that joins goes by its file. Former members are only answered.
+        let file = self.setup.roster.peers.iter().filter(|_| agreed.members.is_empty());
+        let known = agreed.members.values().chain(agreed.gone.values()).chain(file);
+        let ways = known.map(|peer| (peer.name.clone(), self.setup.roster.way(peer))).collect();
+        self.alive.know(agreed.members.keys().cloned().collect());
         self.links.know(ways, agreed.sessions.clone());
         let active = (agreed.revision != self.right.active().revision)
             .then(|| agreed.documents.get(&agreed.revision))
@@ -436,10 +443,19 @@
         let Some(ledger) = &self.ledger else { return };
         let (registered, session) = self.right.look(|gate| (gate.registered(), gate.session()));
         let me = self.setup.roster.me.clone();
+        if self.right.look(Gate::struck) {
+            return;
+        }
         if !registered {
             let readable = ledger.agreed().revision == self.right.active().revision;
-            let member = ledger.agreed().members.contains_key(&me.name);
-            if member && readable {
+            let member = ledger.agreed().members.get(&me.name);
+            if member.is_some_and(|peer| peer.address != me.address) && self.asked.is_empty() {
+                tracing::error!(
+                    "peers: the others know this conductor at another address; it takes no requests"
+                );
+            }
+            let (member, here) = (member.is_some(), member.is_none_or(|peer| peer.address == me.address));
+            if member && here && readable {
                 self.ask(now, Command::Register { name: me.name, session });
             } else if !member && self.setup.roster.join {
                 self.ask(now, Command::Join(me));
--- a/src/control/gate.rs
+++ b/src/control/gate.rs
@@ -35,6 +35,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Gate {
     session: Session,
+    /// Its conductor is a member no longer.
+    struck: bool,
     /// As of the last entry that it applied.
     registered: bool,
     revision: Revision,
@@ -52,6 +54,7 @@
     pub fn new(session: Session) -> Self {
         Gate {
             session,
+            struck: false,
             registered: false,
             revision: 0,
             silence: Silence::Serve,
@@ -64,7 +67,8 @@
 
     /// Takes in what is agreed on now. True when [`Self::prepared`] is owed for the change under way.
     pub fn applied(&mut self, now: Micros, name: &str, agreed: &Agreed) -> bool {
-        self.registered = agreed.sessions.get(name) == Some(&self.session);
+        self.struck |= self.registered && !agreed.members.contains_key(name);
+        self.registered = !self.struck && agreed.sessions.get(name) == Some(&self.session);
         (self.revision, self.silence) = (agreed.revision, agreed.silence);
         let change = agreed.change.as_ref().map(|c| (c.id, c.phase));
         if change.map(|c| c.0) != self.change.map(|c| c.0) {
@@ -79,6 +83,18 @@
         change.is_some() && self.standing.is_none()
     }
 
+    /// Another conductor knows that this one is a member no longer: it takes nothing in any more.
+    pub fn strike(&mut self, session: Session) {
+        if session == self.session {
+            (self.struck, self.registered) = (true, false);
+        }
+    }
+
+    /// Whether its conductor is a member no longer.
+    pub fn struck(&self) -> bool {
+        self.struck
+    }
+
     /// Says whether this process can carry the change out. From a yes on it takes requests under a lease only.
     pub fn prepared(&mut self, id: ChangeId, verdict: Result<(), String>) {
         if self.change == Some((id, Phase::Proposed)) && self.standing.is_none() {
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -13,6 +13,8 @@
 
 /// Documents kept to go back to.
 const DOCUMENTS: usize = 32;
+/// Former members kept.
+const GONE: usize = 64;
 /// Ended changes kept to be asked about.
 const HISTORY: usize = 128;
 /// Longest name of a conductor, in bytes.
@@ -182,6 +184,8 @@
     pub change: Option<Change>,
     /// The members by name.
     pub members: BTreeMap<String, Peer>,
+    /// The latest that were members, so that one that does not know it yet can be told.
+    pub gone: BTreeMap<String, Peer>,
     /// The live session of each member that has one.
     pub sessions: BTreeMap<String, Session>,
     /// Ended changes, the newest last.
@@ -259,15 +263,21 @@
             }
             Command::Join(peer) => {
                 let fits = !peer.name.is_empty() && peer.name.len() <= NAME_MOST;
-                if !fits || self.members.len() >= MEMBERS || self.members.get(&peer.name) == Some(peer) {
+                // A member's address stays: that it refuses connections is a proof.
+                if !fits || self.members.len() >= MEMBERS || self.members.contains_key(&peer.name) {
                     return None;
                 }
+                self.gone.remove(&peer.name);
                 self.members.insert(peer.name.clone(), peer.clone());
                 Some(format!("{} is a member", peer.name))
             }
             Command::Remove { name } => {
-                self.members.remove(name)?;
+                let peer = self.members.remove(name)?;
                 self.sessions.remove(name);
+                self.gone.insert(name.clone(), peer);
+                while self.gone.len() > GONE {
+                    self.gone.pop_first();
+                }
                 Some(format!("{name} is a member no longer"))
             }
         }
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -215,6 +215,9 @@
 
     /// Proposes an entry. Only a leader can, and nothing says that it will be agreed on.
     pub fn propose(&mut self, command: &Command) -> bool {
+        if matches!(command, Command::Join(peer) if self.agreed.members.contains_key(&peer.name)) {
+            return false;
+        }
         let bytes = types::encode(command);
         let proposed = match types::conf_change(command) {
             Some(change) if self.may(&change) => self.node.propose_conf_change(bytes, change),
@@ -288,7 +291,10 @@
             }
             // Another version's entry that is not known here changes nothing here; its kind is turned down before.
             let Ok(command) = types::decode::<Command>(&entry.command) else { continue };
-            if let Some(change) = types::conf_change(&command).filter(|_| entry.conf) {
+            // One that is a member already keeps the part that it has.
+            let known =
+                matches!(&command, Command::Join(peer) if self.agreed.members.contains_key(&peer.name));
+            if let Some(change) = types::conf_change(&command).filter(|_| entry.conf && !known) {
                 // Not stored: a restart goes on from the last snapshot's members and applies this again.
                 let conf = self.node.apply_conf_change(&change)?;
                 self.node.mut_store().log.wl().set_conf_state(conf);
--- a/src/peers/link.rs
+++ b/src/peers/link.rs
@@ -111,7 +111,7 @@
 }
 
 struct Way {
-    address: SocketAddr,
+    address: (SocketAddr, bool),
     words: mpsc::Sender<Word>,
     task: JoinHandle<()>,
 }
@@ -130,10 +130,10 @@
     }
 
     /// Takes in who there is, where, and whose sessions live.
-    pub fn know(&mut self, peers: BTreeMap<String, SocketAddr>, sessions: BTreeMap<String, Session>) {
+    pub fn know(&mut self, peers: BTreeMap<String, (SocketAddr, bool)>, sessions: BTreeMap<String, Session>) {
         *self.sessions.borrow_mut() = sessions;
         self.ways.retain(|name, way| peers.get(name) == Some(&way.address));
-        for (name, address) in peers {
+        for (name, way) in peers {
             if *name == *self.me || self.ways.contains_key(&name) {
                 continue;
             }
@@ -141,12 +141,13 @@
             let task = Sender {
                 hello: Hello::new(&self.cluster, &self.me, &name),
                 name: name.clone(),
-                address,
+                address: way.0,
+                refusal_proves: way.1,
                 news: self.news.clone(),
                 sessions: self.sessions.clone(),
                 sent: self.sent.clone(),
             };
-            self.ways.insert(name, Way { address, words, task: spawn_local(task.run(waiting)) });
+            self.ways.insert(name, Way { address: way, words, task: spawn_local(task.run(waiting)) });
         }
     }
 
@@ -172,6 +173,8 @@
     hello: Hello,
     name: String,
     address: SocketAddr,
+    /// When the address refuses connections, the peer's process has ended.
+    refusal_proves: bool,
     news: mpsc::Sender<News>,
     sessions: Rc<RefCell<BTreeMap<String, Session>>>,
     sent: Rc<RefCell<(u64, u64)>>,
@@ -185,7 +188,9 @@
             let known = self.sessions.borrow().get(&self.name).copied();
             let connected = match timeout(MEET, TcpStream::connect(self.address)).await {
                 Ok(Ok(socket)) => self.greet(socket).await,
-                Ok(Err(fault)) if fault.kind() == std::io::ErrorKind::ConnectionRefused => {
+                Ok(Err(fault))
+                    if self.refusal_proves && fault.kind() == std::io::ErrorKind::ConnectionRefused =>
+                {
                     let _ = self.news.send(News::Refused(self.name.clone(), known)).await;
                     None
                 }
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -9,7 +9,7 @@
 
 use crate::api::Micros;
 use crate::control::report::{Grant, Report};
-use crate::control::state::Command;
+use crate::control::state::{Command, Session};
 use crate::ledger::types::Message;
 
 /// The version of what crosses a link. Another one is turned away at the hello.
@@ -77,6 +77,8 @@
     Answer(Option<Grant>, Beat),
     /// To the leader: please propose this.
     Ask(Command),
+    /// To one that is a member no longer and reports as one: this session is over.
+    Struck(Session),
     /// Who is heard: a datagram of the library's.
     Alive(Vec<u8>),
 }
--- a/src/peers/roster.rs
+++ b/src/peers/roster.rs
@@ -26,6 +26,8 @@
     address: SocketAddr,
     site: String,
     via: Option<SocketAddr>,
+    #[serde(default)]
+    via_refuses: bool,
 }
 
 /// The conductors as one of them is told.
@@ -41,8 +43,9 @@
     pub me: Peer,
     /// All that the file names, this one too.
     pub peers: Vec<Peer>,
-    /// Where another address than a peer's own leads to it.
-    pub via: BTreeMap<String, SocketAddr>,
+    /// Where another address than a peer's own leads to it, and whether that refuses connections when, and only when, the
+    /// peer's process has ended.
+    pub via: BTreeMap<String, (SocketAddr, bool)>,
 }
 
 impl Roster {
@@ -72,7 +75,7 @@
             if !fits(&line.name) || !fits(&line.site) {
                 return Err(format!("peers: \"{}\" at \"{}\": not both are names", line.name, line.site));
             }
-            via.extend(line.via.map(|at| (line.name.clone(), at)));
+            via.extend(line.via.map(|at| (line.name.clone(), (at, line.via_refuses))));
             let peer = Peer { name: line.name.clone(), address: line.address, site: line.site };
             if peers.values().any(|p: &Peer| p.address == peer.address) {
                 return Err(format!("peers: the address {} stands there twice", peer.address));
@@ -95,9 +98,9 @@
         (!self.join).then(|| Agreed::new(self.peers.iter().cloned()))
     }
 
-    /// Where to connect for a peer.
-    pub fn way(&self, peer: &Peer) -> SocketAddr {
-        self.via.get(&peer.name).copied().unwrap_or(peer.address)
+    /// Where to connect for a peer, and whether it has ended when that refuses connections.
+    pub fn way(&self, peer: &Peer) -> (SocketAddr, bool) {
+        self.via.get(&peer.name).copied().unwrap_or((peer.address, true))
     }
 }
 
@@ -116,8 +119,8 @@
     fn a_file_tells_who_there_is_and_each_way() {
         let roster = parse(TWO).expect("a roster");
         assert_eq!(roster.store, Path::new("/x/l.redb"));
-        assert_eq!(roster.way(&roster.peers[0]).port(), 1);
-        assert_eq!(roster.way(&roster.peers[1]).port(), 9);
+        assert_eq!((roster.way(&roster.peers[0]).0.port(), roster.way(&roster.peers[0]).1), (1, true));
+        assert_eq!((roster.way(&roster.peers[1]).0.port(), roster.way(&roster.peers[1]).1), (9, false));
     }
 
     #[test]
--- a/tests/policy_processes.rs
+++ b/tests/policy_processes.rs
@@ -9,9 +9,9 @@
 use rig::check::{Change, Told};
 use rig::conductor::Place;
 use rig::faults::Faults;
-use rig::fleet::{Fleet, Size, cluster_file, document};
+use rig::fleet::{Away, Fleet, Size, cluster_file, document};
 use rig::load::{Load, Outcome};
-use rig::policy::{Away, findings, propose, settled};
+use rig::policy::{findings, propose, settled};
 use rustix::process::Signal;
 use serde_json::json;
 
@@ -89,9 +89,7 @@
             let text = document(mark, "serve");
             let proposal = tokio::spawn(async move { propose(at, &text, false, LONG, clock).await });
             assert!(lines.wait(place, step).await.is_some(), "{who} never saw that it {step}");
-            let now = fleet.clock.now();
-            killed.push((victim, now, now));
-            fleet.kill(victim).await;
+            killed.push(fleet.kill(victim).await);
             if who == "proposer" {
                 // Whoever waits at a conductor that dies learns nothing from it: the outcome is unknown to the caller.
                 proposal.abort();
@@ -176,6 +174,12 @@
     assert!(fleet.conductors[other].status_is(|s| s["peers"].as_array().is_some_and(|p| p.len() == 2)).await);
     let change = change_at(&fleet, other, 2, "serve").await;
     applied(&change);
+    fleet.conductors[sleeper].signal(Signal::CONT);
+    let lines = &fleet.conductors[sleeper].lines;
+    assert!(lines.wait(0, "is a member no longer; it takes no requests").await.is_some());
+    let ready =
+        rig::conductor::call(fleet.conductors[sleeper].place.clients, Method::GET, "/-/ready", "").await;
+    assert_eq!(ready.map(|(status, _)| status), Some(503));
     load.end().await;
 }
 
