--- a/rig/src/measure.rs
+++ b/rig/src/measure.rs
@@ -57,11 +57,18 @@
     let proposal =
         tokio::spawn(async move { propose(operators, &text, false, Duration::from_secs(15), clock).await });
     for (conductor, place) in running.iter().zip(places) {
-        conductor.lines.wait(place, "is in force here").await?;
+        if conductor.lines.wait(place, "is in force here").await.is_none() {
+            println!("  change {mark} did not reach {}", conductor.place.name);
+            return None;
+        }
     }
     let took = (clock.now() - begun) as f64 / 1_000.0;
     let told = proposal.await.ok()?.told;
-    matches!(told, Told::Applied(_)).then_some(took)
+    if !matches!(told, Told::Applied(_)) {
+        println!("  change {mark}: {told:?}");
+        return None;
+    }
+    Some(took)
 }
 
 /// All figures at one size.
