--- a/rig/src/policy.rs
+++ b/rig/src/policy.rs
@@ -125,6 +125,22 @@
     stopped.iter().any(|(number, _)| *number == who)
 }
 
+/// Whole links, nobody stopped, everybody up.
+async fn mend(
+    fleet: &mut Fleet, stopped: &mut Vec<(usize, Micros)>, away: &mut Vec<Away>,
+) -> std::io::Result<()> {
+    fleet.disturb(Faults::default());
+    for (who, since) in stopped.drain(..) {
+        fleet.conductors[who].signal(Signal::CONT);
+        away.push((who, since, fleet.clock.now()));
+    }
+    let down: Vec<_> = (0..fleet.conductors.len()).filter(|&n| !fleet.conductors[n].runs()).collect();
+    for who in down {
+        fleet.restart(who).await?;
+    }
+    Ok(())
+}
+
 /// One seeded history: so many steps, each a fault or its end, with proposals at any conductor all along.
 pub async fn history(program: &Path, seed: u64, steps: usize) -> std::io::Result<(Fleet, Report)> {
     let mut rng = SmallRng::seed_from_u64(seed);
@@ -207,30 +223,14 @@
                 "links lose, delay, repeat and reorder".into()
             }
             _ => {
-                fleet.disturb(Faults::default());
-                for (who, since) in stopped.drain(..) {
-                    fleet.conductors[who].signal(Signal::CONT);
-                    away.push((who, since, fleet.clock.now()));
-                }
-                let down: Vec<_> = (0..conductors).filter(|&n| !fleet.conductors[n].runs()).collect();
-                for who in down {
-                    fleet.restart(who).await?;
-                }
+                mend(&mut fleet, &mut stopped, &mut away).await?;
                 "all is mended".into()
             }
         };
         report.told.push(format!("{} ms: {line}", fleet.clock.now() / 1_000));
         tokio::time::sleep(Duration::from_millis(rng.random_range(50..900))).await;
     }
-    fleet.disturb(Faults::default());
-    for (who, since) in stopped.drain(..) {
-        fleet.conductors[who].signal(Signal::CONT);
-        away.push((who, since, fleet.clock.now()));
-    }
-    let down: Vec<_> = (0..conductors).filter(|&n| !fleet.conductors[n].runs()).collect();
-    for who in down {
-        fleet.restart(who).await?;
-    }
+    mend(&mut fleet, &mut stopped, &mut away).await?;
     report.told.push(format!("{} ms: all is mended", fleet.clock.now() / 1_000));
     for proposal in proposals {
         report.changes.extend(proposal.await);
