Hold a lease before saying prepared, and go on asking for a proposal through an election

Change: prepared is said only with a lease of half a second and more in hand; the asked conductor goes on for 10 s. The crash-point test waits for the change under way, where it counted tries.

--- a/src/control/desk.rs
+++ b/src/control/desk.rs
@@ -41,6 +41,9 @@
 const ASK_AGAIN: Micros = 300_000;
 /// For so long an operator's call waits for a change to end. Its answer is owed within a second.
 const CALL_WAIT: Micros = 850_000;
+/// For so long after its call was answered a proposal that is not in the ledger yet is asked for again: an election takes
+/// longer than a call may.
+const ASK_ON: Micros = 10_000_000;
 /// News and calls that wait.
 const WAITING: usize = 4_096;
 /// Calls that wait for a change to end.
@@ -171,7 +174,8 @@
     command: Command,
     id: ChangeId,
     until: Micros,
-    answer: oneshot::Sender<Reply>,
+    /// None once it was answered that nothing is known yet.
+    answer: Option<oneshot::Sender<Reply>>,
 }
 
 struct Desk {
@@ -462,11 +466,14 @@
             }
             return;
         }
-        let report = self.right.look(|gate| gate.report(now));
-        let often = report.standing.is_some() || ledger.voters().contains(&me.name);
+        let unsaid = self.right.look(Gate::unsaid);
+        let report = self.right.report(now);
+        let often = unsaid || report.standing.is_some() || ledger.voters().contains(&me.name);
         let often = often || ledger.agreed().silence == policy::Silence::Stop;
         let every = if often { REPORT_OFTEN } else { REPORT_SELDOM };
-        if !(moved && report.standing.is_some()) && now < self.reported_at.saturating_add(every) {
+        // What is new is said at once; what was only waiting for its lease, as soon as that is there.
+        let news = moved && report.standing.is_some() || unsaid && (moved || report.standing.is_some());
+        if !news && now < self.reported_at.saturating_add(every) {
             return;
         }
         self.reported_at = now;
@@ -474,6 +481,10 @@
             if let Some(Some(grant)) = self.grant(now, report) {
                 self.right.change(None, |gate| gate.granted(grant));
             }
+            if self.right.look(Gate::unsaid) {
+                let report = self.right.report(now);
+                self.grant(now, report);
+            }
             self.lead(now);
         } else if let Some(leader) = ledger.leader() {
             let term = ledger.term();
@@ -501,7 +512,7 @@
                 Ok(_) if self.waiting.len() >= CALLS_MOST => no(503, "too many changes are waited for"),
                 Ok((command, id)) => {
                     let until = now.saturating_add(CALL_WAIT);
-                    return self.waiting.push(Waiting { command, id, until, answer });
+                    return self.waiting.push(Waiting { command, id, until, answer: Some(answer) });
                 }
                 Err(reply) => reply,
             },
@@ -562,10 +573,13 @@
     /// Answers the calls whose change has ended, and those that have waited long enough.
     fn answer_waiting(&mut self) {
         let now = self.now();
-        for waiting in std::mem::take(&mut self.waiting) {
+        for mut waiting in std::mem::take(&mut self.waiting) {
             let reply = self.outcome(waiting.id);
-            if reply.status != 202 || now >= waiting.until {
-                let _ = waiting.answer.send(reply);
+            let ended = reply.status != 202;
+            if let Some(answer) = waiting.answer.take_if(|_| ended || now >= waiting.until) {
+                let _ = answer.send(reply);
+            }
+            if ended || now >= waiting.until.saturating_add(ASK_ON) {
                 continue;
             }
             if !self.ledger.as_ref().is_some_and(|ledger| ledger.agreed().known(waiting.id)) {
--- a/src/control/gate.rs
+++ b/src/control/gate.rs
@@ -3,7 +3,7 @@
 use super::policy::Silence;
 use super::report::{Grant, Report, Standing};
 use super::state::{Agreed, ChangeId, Phase, Revision, Session};
-use super::{HOLD, LEASE};
+use super::{ARM, HOLD, LEASE};
 use crate::api::Micros;
 
 /// What becomes of a request that arrives now.
@@ -44,6 +44,8 @@
     change: Option<(ChangeId, Phase)>,
     /// What it has said of that change.
     standing: Option<Standing>,
+    /// It has told the leader that it is prepared, and so has given its standing right up until that change has ended.
+    armed: bool,
     lease_until: Micros,
     /// Since when requests are held for the fence.
     fenced_at: Option<Micros>,
@@ -60,6 +62,7 @@
             silence: Silence::Serve,
             change: None,
             standing: None,
+            armed: false,
             lease_until: Micros::MIN,
             fenced_at: None,
         }
@@ -72,7 +75,7 @@
         (self.revision, self.silence) = (agreed.revision, agreed.silence);
         let change = agreed.change.as_ref().map(|c| (c.id, c.phase));
         if change.map(|c| c.0) != self.change.map(|c| c.0) {
-            self.standing = None;
+            (self.standing, self.armed) = (None, false);
         }
         self.change = change;
         let fenced = matches!(change, Some((_, Phase::Decided)));
@@ -95,7 +98,7 @@
         self.struck
     }
 
-    /// Says whether this process can carry the change out. From a yes on it takes requests under a lease only.
+    /// Says whether this process can carry the change out.
     pub fn prepared(&mut self, id: ChangeId, verdict: Result<(), String>) {
         if self.change == Some((id, Phase::Proposed)) && self.standing.is_none() {
             self.standing = Some(match verdict {
@@ -105,12 +108,20 @@
         }
     }
 
-    /// Its word to the leader.
-    pub fn report(&self, now: Micros) -> Report {
-        let standing = self.change.and_then(|(id, _)| Some((id, self.standing.clone()?)));
+    /// Its word to the leader. From the word that it is prepared on it takes requests under a lease only, so it holds one
+    /// before it says that.
+    pub fn report(&mut self, now: Micros) -> Report {
+        self.armed |= self.standing == Some(Standing::Prepared) && now.saturating_add(ARM) < self.lease_until;
+        let said = self.standing.clone().filter(|_| !self.unsaid());
+        let standing = self.change.and_then(|(id, _)| Some((id, said?)));
         Report { session: self.session, asked_at: now, standing }
     }
 
+    /// Whether it is prepared and waits for a lease to say so.
+    pub fn unsaid(&self) -> bool {
+        self.standing == Some(Standing::Prepared) && !self.armed
+    }
+
     /// Takes the leader's answer in. One that comes late or twice does no harm: it counts from when it was asked for.
     pub fn granted(&mut self, grant: Grant) {
         if grant.session == self.session {
@@ -127,7 +138,7 @@
             let until = at.saturating_add(HOLD);
             return if now < until { Take::Hold(until) } else { Take::Refuse(Closed::Fenced) };
         }
-        let needs_lease = self.silence == Silence::Stop || self.standing == Some(Standing::Prepared);
+        let needs_lease = self.silence == Silence::Stop || self.armed;
         if !needs_lease || now < self.lease_until {
             return Take::Under(self.revision);
         }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -23,5 +23,7 @@
 pub const DRIFT: Micros = 100_000;
 /// For so long a change waits for the words of sessions that need no lease, before it is turned down.
 pub const PREPARE_WAIT: Micros = 2_000_000;
+/// A lease that runs for less than this is renewed before its conductor gives its standing right up for it.
+pub const ARM: Micros = LEASE / 4;
 /// For so long a request may be held at the door.
 pub const HOLD: Micros = 300_000;
--- a/src/control/right.rs
+++ b/src/control/right.rs
@@ -6,6 +6,7 @@
 
 use super::gate::{Gate, Take};
 use super::policy::Policy;
+use super::report::Report;
 use super::state::Revision;
 use crate::api::{Micros, Settings};
 
@@ -69,6 +70,11 @@
         at(&self.lock().gate)
     }
 
+    /// This conductor's word to the leader.
+    pub fn report(&self, now: Micros) -> Report {
+        self.lock().gate.report(now)
+    }
+
     /// The policy in force.
     pub fn active(&self) -> Arc<Active> {
         self.lock().active.clone()
--- a/tests/policy_processes.rs
+++ b/tests/policy_processes.rs
@@ -99,12 +99,15 @@
             // Two of three are left: the change under way ends, and the next one passes.
             mark += 1;
             let survivor = (victim + 1) % 3;
+            let at_rest = || fleet.conductors[survivor].status_is(|s| s["change"].is_null());
+            assert!(at_rest().await, "the change under way does not end");
             let mut next = change_at(&fleet, survivor, mark, "serve").await;
             for _ in 0..50 {
                 if next.told != Told::TurnedDown {
                     break;
                 }
-                // The one under way has not ended yet.
+                // One that was on its way to the ledger came first.
+                assert!(at_rest().await, "the change under way does not end");
                 next = change_at(&fleet, survivor, mark, "serve").await;
             }
             applied(&next);
