Find a ledger message's receiver by the ledger's own map, and drop what nobody used

Each message hashed every member's name to find its receiver, though the ledger keeps that map; the file's names are now searched only where one that joins knows no member yet. The line of a byte was computed in two places, and is in one. A leader's waiting_since had no caller; the note on a proposal's silence said another thing than the code does. Behaviour is unchanged.

--- a/src/control/coordinator.rs
+++ b/src/control/coordinator.rs
@@ -52,11 +52,6 @@
         self.seats.entry(session).or_default().refused = true;
     }
 
-    /// Since when the change under way has been waited for here.
-    pub fn waiting_since(&self) -> Option<Micros> {
-        self.waiting.map(|(_, since)| since)
-    }
-
     /// The entries that are due. They are proposed again until they take effect, so a lost one does no harm.
     pub fn due(&mut self, now: Micros, agreed: &Agreed) -> Vec<Command> {
         let live: BTreeSet<_> = agreed.sessions.values().copied().collect();
--- a/src/control/desk.rs
+++ b/src/control/desk.rs
@@ -355,10 +355,11 @@
                 Some(Ok(output)) => {
                     for message in output.messages {
                         // One that joins is answered before it knows the members: it goes by its file.
+                        let member = self.ledger.as_ref().and_then(|ledger| ledger.name(message.to));
                         let to =
-                            self.links.names().find(|name| number(name) == message.to).map(str::to_owned);
+                            member.or_else(|| self.links.names().find(|name| number(name) == message.to));
                         if let Some(to) = to {
-                            self.links.send(&to, Word::Ledger(message));
+                            self.links.send(to, Word::Ledger(message));
                         }
                     }
                     output.applied.iter().for_each(|line| tracing::info!("ledger: {line}"));
--- a/src/control/policy.rs
+++ b/src/control/policy.rs
@@ -123,12 +123,17 @@
     format!("{:032x}", xxh3_128(document.as_bytes()))
 }
 
+/// The line, from 1, in which this byte of a text stands.
+pub fn line_of(text: &str, at: usize) -> Option<usize> {
+    Some(text.get(..at)?.matches('\n').count() + 1)
+}
+
 /// Checks values against their ranges, and remembers where they stand.
 struct Checker<'a>(&'a str);
 
 impl Checker<'_> {
     fn line(&self, at: usize) -> Option<usize> {
-        Some(self.0.get(..at)?.matches('\n').count() + 1)
+        line_of(self.0, at)
     }
 
     fn within<T: Copy + PartialOrd + fmt::Display>(
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -70,7 +70,7 @@
         by: String,
         /// The document.
         document: String,
-        /// How long sessions without a lease are waited for is the document's own in force.
+        /// What the document says of silent sessions; each conductor turns it down where that is not so.
         silence: Silence,
     },
     /// All are prepared.
--- a/src/node/process/succession.rs
+++ b/src/node/process/succession.rs
@@ -62,7 +62,7 @@
 type Lines = BufReader<OwnedReadHalf>;
 
 /// The two ends of the link between an older and a newer process.
-pub type Link = (BufReader<OwnedReadHalf>, OwnedWriteHalf);
+pub type Link = (Lines, OwnedWriteHalf);
 
 async fn hear(lines: &mut Lines) -> Result<Message, LinkError> {
     let mut line = Vec::new();
--- a/src/peers/roster.rs
+++ b/src/peers/roster.rs
@@ -6,6 +6,7 @@
 
 use serde::Deserialize;
 
+use crate::control::policy::line_of;
 use crate::control::state::{Agreed, NAME_MOST, Peer};
 use crate::node::process::config::ConfigError;
 
@@ -59,7 +60,7 @@
 
     fn parse(text: &str, base: &Path, name: &str) -> Result<Self, String> {
         let file: File = toml::from_str(text).map_err(|e| {
-            let line = e.span().and_then(|span| Some(text.get(..span.start)?.matches('\n').count() + 1));
+            let line = e.span().and_then(|span| line_of(text, span.start));
             let line = line.map_or(String::new(), |line| format!("line {line}: "));
             format!("{line}{}", e.message().replace('\n', " "))
         })?;
