--- a/src/node/list/membership.rs
+++ b/src/node/list/membership.rs
@@ -5,8 +5,9 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Bans and returns remembered of ids that discovery does not name at present, of each the latest so many.
-const UNLISTED_MOST: usize = 256;
+/// Bans and returns remembered of ids that discovery does not name at present, of each the latest so many: some hundred
+/// kilobytes. Tests reach the bound sooner.
+const UNLISTED_MOST: usize = if cfg!(test) { 256 } else { 4_096 };
 
 /// A list of targets, whole or only its changes.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -174,11 +175,19 @@
 
 /// A long service brings ever new ids; an id that discovery drops may come back, but seldom after very many others.
 fn forget_oldest(times: &mut BTreeMap<String, i64>, listed: &BTreeMap<String, Target>) {
+    if times.len() <= UNLISTED_MOST {
+        return;
+    }
     let unlisted = times.iter().filter(|(id, _)| !listed.contains_key(*id));
     let mut unlisted: Vec<_> = unlisted.map(|(id, &at)| (at, id.clone())).collect();
     unlisted.sort();
     let over = unlisted.len().saturating_sub(UNLISTED_MOST);
-    unlisted.into_iter().take(over).for_each(|(_, id)| times.retain(|kept, _| *kept != id));
+    for (_, id) in unlisted.into_iter().take(over) {
+        tracing::info!(
+            "operator: more than {UNLISTED_MOST} ids that are not listed; the ban or return of {id} is forgotten"
+        );
+        times.remove(&id);
+    }
 }
 
 #[cfg(test)]
@@ -251,6 +260,43 @@
         assert_eq!(m.lift("a", 2).unwrap().unwrap().state, State::Terminating);
     }
 
+    #[test]
+    fn an_older_list_changes_nothing_and_a_whole_one_holds_once_the_version_is_forgotten() {
+        let mut m = known(&["a"]);
+        m.take(&list(7, false, vec![target("a", State::Terminating, 0)])).unwrap();
+        for full in [false, true] {
+            let older = m.take(&list(6, full, vec![target("a", State::Ready, 0)]));
+            assert_eq!(older, Err(OlderList { told: 6, known: 7 }));
+            assert_eq!((m.version(), m.all()[0].state), (Some(7), State::Terminating));
+        }
+        m.forget_version();
+        m.take(&list(2, true, vec![target("a", State::Ready, 0)])).unwrap();
+        assert_eq!((m.version(), m.all()[0].state), (Some(2), State::Ready));
+    }
+
+    #[test]
+    fn what_cannot_be_read_of_a_known_instance_takes_nothing_new_until_it_can() {
+        for full in [false, true] {
+            let mut m = known(&["a", "b"]);
+            let doubtful = vec!["a".to_owned(), "never heard of".to_owned()];
+            let told =
+                m.take(&Targets { doubtful, ..list(2, full, vec![target("b", State::Ready, 0)]) }).unwrap();
+            assert_eq!(told.iter().map(|t| t.state).collect::<Vec<_>>(), [State::Terminating, State::Ready]);
+            assert_eq!(m.all().len(), 2);
+            m.take(&list(3, false, vec![target("a", State::Ready, 0)])).unwrap();
+            assert_eq!(m.all()[0].state, State::Ready);
+        }
+    }
+
+    #[test]
+    fn a_list_without_a_version_leaves_the_one_at_hand_unless_it_is_whole() {
+        let mut m = known(&["a"]);
+        m.take(&Targets { version: None, ..list(0, false, vec![]) }).unwrap();
+        assert_eq!(m.version(), Some(1));
+        m.take(&Targets { version: None, ..list(0, true, vec![]) }).unwrap();
+        assert_eq!((m.version(), m.all().len()), (None, 0));
+    }
+
     /// Over random orders of calls and lists: banned is never ready, all else is as discovery says, and what is
     /// kept stays bounded and survives being handed over.
     #[test]
