Look directly before a request's first byte whether its instance drains by now

Need: the check for drains stood between connection and sending; a list taken in before the connection's own task wrote came too late for it, and probes were not checked at all.

Change: each connection knows whether its instance may be sent new work and looks before the first byte of a request; what is caught goes back to the planner as not sent. Releases pass: any instance takes them.

Checked: a first attempt, a second stage and a probe that wait for a connection while the instance drains or is gone, and a connection that stands while the drain is told in the moment of sending (tests/lists.rs).

--- a/src/node/upstream/attempt.rs
+++ b/src/node/upstream/attempt.rs
@@ -164,7 +164,7 @@
             let Some(mut connection) = self.connection(host).await else {
                 return ended(Outcome::Unreachable);
             };
-            let (body, mark) = connection.body(payload.body.clone());
+            let (body, mark) = connection.body(payload.body.clone(), true);
             *written = Some(mark.clone());
             let mut request = Request::new(body);
             self.head(host, payload, until, &mut request);
@@ -254,7 +254,7 @@
     async fn call(
         &self, host: HostId, mut connection: Connection, method: Method, path: &str,
     ) -> Option<Response<Bytes>> {
-        let (body, _) = connection.body(Bytes::new());
+        let (body, _) = connection.body(Bytes::new(), method != Method::DELETE);
         let mut request = Request::builder().method(method).uri(path).body(body).ok()?;
         self.host_header(host, request.headers_mut());
         let response = connection.sender().try_send_request(request).await.ok()?;
--- a/src/node/upstream/pool.rs
+++ b/src/node/upstream/pool.rs
@@ -67,6 +67,8 @@
 #[derive(Default)]
 struct Shelf {
     site: Option<Site>,
+    /// Whether the instance may be sent new work: shared with all connections to it.
+    open: Rc<Cell<bool>>,
     idle: Vec<Connection>,
     heard: Option<Instant>,
 }
@@ -119,11 +121,33 @@
     }
 }
 
+/// What stands before the first byte of a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Gate {
+    /// New work: only while the instance may be sent any.
+    #[default]
+    New,
+    /// Nothing: the request has begun, or it lets go of what is held.
+    Passed,
+}
+
 /// A socket that notes when a handed-over body has left the library's buffer: hyper flushes the socket only
-/// once its own buffer is empty. An attempt whose last byte was never written is known never to have run.
+/// once its own buffer is empty. An attempt whose last byte was never written is known never to have run. Directly before
+/// the first byte it looks whether the instance drains by now.
 struct Watched {
     socket: TcpStream,
     mark: WriteMark,
+    gate: Rc<Cell<Gate>>,
+    open: Rc<Cell<bool>>,
+}
+
+impl Watched {
+    fn pass(&self) -> io::Result<()> {
+        if self.gate.replace(Gate::Passed) == Gate::Passed || self.open.get() {
+            return Ok(());
+        }
+        Err(io::Error::other("the instance drains"))
+    }
 }
 
 impl AsyncRead for Watched {
@@ -136,12 +160,14 @@
 
 impl AsyncWrite for Watched {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
+        self.pass()?;
         Pin::new(&mut self.socket).poll_write(cx, data)
     }
 
     fn poll_write_vectored(
         mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.pass()?;
         Pin::new(&mut self.socket).poll_write_vectored(cx, data)
     }
 
@@ -166,6 +192,7 @@
 pub struct Connection {
     sender: SendRequest<Outgoing>,
     mark: WriteMark,
+    gate: Rc<Cell<Gate>>,
     driver: AbortHandle,
     since: Instant,
     fresh: bool,
@@ -178,9 +205,11 @@
 }
 
 impl Connection {
-    /// A body for the next request on this connection, and the mark that tells when it is written.
-    pub fn body(&self, data: Bytes) -> (Outgoing, WriteMark) {
+    /// A body for the next request on this connection, and the mark that tells when it is written. The request is `new`
+    /// work, which does not begin at an instance that drains, or lets go of what is held, which any instance takes.
+    pub fn body(&self, data: Bytes, new: bool) -> (Outgoing, WriteMark) {
         self.mark.0.set(Written::No);
+        self.gate.set(if new { Gate::New } else { Gate::Passed });
         (Outgoing { data: Some(data).filter(|d| !d.is_empty()), mark: self.mark.clone() }, self.mark.clone())
     }
 
@@ -250,8 +279,11 @@
     /// Takes in where an instance listens, or that it is gone. A new address makes old connections useless.
     pub fn place(&self, host: HostId, site: Option<Site>) {
         let mut shelves = self.shelves.borrow_mut();
-        let Some(site) = site else { return drop(shelves.remove(&host)) };
+        let Some(site) = site else {
+            return drop(shelves.remove(&host).inspect(|shelf| shelf.open.set(false)));
+        };
         let shelf = shelves.entry(host).or_default();
+        shelf.open.set(site.ready);
         if shelf.site.as_ref().is_none_or(|old| old.addr != site.addr) {
             shelf.idle.clear();
         }
@@ -287,8 +319,12 @@
                 return Ok(kept);
             }
         }
-        let addr = self.site(host).ok_or(NoConnection)?.addr;
-        timeout(self.limits.connect, self.open(addr)).await.unwrap_or(Err(NoConnection))
+        let place = {
+            let shelves = self.shelves.borrow();
+            let shelf = shelves.get(&host).ok_or(NoConnection)?;
+            (shelf.site.as_ref().ok_or(NoConnection)?.addr, shelf.open.clone())
+        };
+        timeout(self.limits.connect, self.open(place)).await.unwrap_or(Err(NoConnection))
     }
 
     fn take_idle(&self, host: HostId) -> Option<Connection> {
@@ -299,12 +335,12 @@
         Some(idle.remove(settled))
     }
 
-    async fn open(&self, addr: SocketAddr) -> Result<Connection, NoConnection> {
+    async fn open(&self, (addr, open): (SocketAddr, Rc<Cell<bool>>)) -> Result<Connection, NoConnection> {
         let permit = self.permit().await?;
         let socket = TcpStream::connect(addr).await.map_err(|_| NoConnection)?;
         socket.set_nodelay(true).map_err(|_| NoConnection)?;
-        let mark = WriteMark::default();
-        let io = TokioIo::new(Watched { socket, mark: mark.clone() });
+        let (mark, gate) = (WriteMark::default(), Rc::<Cell<Gate>>::default());
+        let io = TokioIo::new(Watched { socket, mark: mark.clone(), gate: gate.clone(), open });
         let made = http1::Builder::new().max_buf_size(BUFFER).handshake(io).await;
         let (sender, connection) = made.map_err(|_| NoConnection)?;
         add(&self.counters.connects);
@@ -313,7 +349,14 @@
             // Its end shows at the request that used it.
             let _ = connection.await;
         });
-        Ok(Connection { sender, mark, driver: driver.abort_handle(), since: Instant::now(), fresh: true })
+        Ok(Connection {
+            sender,
+            mark,
+            gate,
+            driver: driver.abort_handle(),
+            since: Instant::now(),
+            fresh: true,
+        })
     }
 
     /// Room for one more connection, made by closing the oldest idle one if need be.
--- a/tests/lists.rs
+++ b/tests/lists.rs
@@ -1,12 +1,13 @@
 //! Lists reach every conductor in time, at 2, 300 and 350 of them: watches that fall silent, are cut or refused, discovery
 //! that is down. One process holds all conductors, on tokio's paused clock; discovery is a stand-in on loopback.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use croftsill::api::Settings;
+use bytes::Bytes;
+use croftsill::api::{HostId, Outcome, Role, Settings};
 use croftsill::node::counters::Counters;
 use croftsill::node::door::Door;
 use croftsill::node::list::discovery::Directory;
@@ -14,10 +15,12 @@
 use croftsill::node::list::membership::{Membership, Targets};
 use croftsill::node::list::pace::Pace;
 use croftsill::node::planner::Planner;
-use croftsill::node::upstream::attempt::{Dialect, Upstream};
-use croftsill::node::upstream::pool::{Pool, PoolLimits};
+use croftsill::node::upstream::attempt::{Dialect, First, Payload, Upstream};
+use croftsill::node::upstream::pool::{Pool, PoolLimits, Site};
 use croftsill::node::{Clock, Core};
 use croftsill::wire::{Names, settings_from};
+use proptest::prelude::*;
+use proptest::test_runner::{RngAlgorithm, TestRng, TestRunner};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -161,20 +164,20 @@
     }
 }
 
+fn core(settings: &Settings, seed: u64, connections: usize) -> (Core, Clock) {
+    let (counters, clock) = (Rc::new(Counters::default()), Clock::start());
+    let limits = PoolLimits { connect: Duration::from_secs(1), idle: Duration::from_secs(2), connections };
+    let (planner, _orders) = Planner::start(settings.clone(), seed, clock, None);
+    let pool = Rc::new(Pool::new(limits, counters.clone()));
+    let upstream = Rc::new(Upstream::new(pool, Dialect::Platform, counters.clone()));
+    (Core { planner, upstream, counters, door: Door::open() }, clock)
+}
+
 fn conductor(
     seed: u64, conductors: usize, asked: bool, address: SocketAddr,
 ) -> (Rc<Fleet>, watch::Receiver<bool>) {
     let (settings, names) = configured(conductors, asked);
-    let (counters, clock) = (Rc::new(Counters::default()), Clock::start());
-    let limits =
-        PoolLimits { connect: Duration::from_millis(250), idle: Duration::from_secs(2), connections: 8 };
-    let (planner, _orders) = Planner::start(settings.clone(), seed, clock, None);
-    let upstream = Rc::new(Upstream::new(
-        Rc::new(Pool::new(limits, counters.clone())),
-        Dialect::Platform,
-        counters.clone(),
-    ));
-    let core = Core { planner, upstream, counters, door: Door::open() };
+    let (core, clock) = core(&settings, seed, 8);
     let mut known = Membership::default();
     let whole = line(&World { version: 1, ..World::default() }, true);
     known.take(&Targets::parse(whole.as_bytes()).expect("a list").0).expect("the first list");
@@ -191,6 +194,25 @@
     (fleet, heard)
 }
 
+/// An instance that counts the requests that begin there and answers none.
+async fn mute() -> (SocketAddr, Rc<Cell<u32>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("an address");
+    let (address, begun) = (listener.local_addr().expect("an address"), Rc::<Cell<u32>>::default());
+    let counted = begun.clone();
+    spawn_local(async move {
+        while let Ok((mut socket, _)) = listener.accept().await {
+            let counted = counted.clone();
+            spawn_local(async move {
+                if socket.read_u8().await.is_ok() {
+                    counted.set(counted.get() + 1);
+                }
+                while socket.read_u8().await.is_ok() {}
+            });
+        }
+    });
+    (address, begun)
+}
+
 const SIZES: [usize; 3] = [2, 300, 350];
 const GRACE: Duration = Duration::from_secs(1);
 const TOLD_AFTER: Duration = Duration::from_secs(6);
@@ -275,3 +297,135 @@
         scene.drained(back, Duration::from_secs(40)).await;
     });
 }
+
+/// What may come between the decision and the first byte, for a first attempt, a second stage and a probe alike: the instance
+/// drains, or is gone.
+#[test]
+fn what_was_decided_before_a_drain_does_not_begin_after_it() {
+    at_each_size(async |conductors| {
+        let (settings, _) = configured(conductors, false);
+        for (role, gone) in [(Role::Read, false), (Role::Write, false), (Role::Write, true)] {
+            let (addr, begun) = mute().await;
+            let (core, _) = core(&settings, 1, 1);
+            let (upstream, host) = (core.upstream, HostId(1));
+            let site = |ready| Some(Site { addr, role, ready });
+            let payload = Payload {
+                id: "0a".into(),
+                target: "/v1/chat/completions".parse().expect("a path"),
+                content_type: None,
+                body: Bytes::from_static(b"{}"),
+            };
+            let send = || {
+                let (upstream, payload) = (upstream.clone(), payload.clone());
+                let until = Instant::now() + Duration::from_secs(3);
+                spawn_local(async move { upstream.first(host, &payload, until).await.0 })
+            };
+            upstream.pool().place(host, site(true));
+            // One has the only connection; the next one waits for it.
+            let first = send();
+            sleep(Duration::from_millis(100)).await;
+            let waiting = send();
+            sleep(Duration::from_millis(100)).await;
+            upstream.pool().place(host, site(false).filter(|_| !gone));
+            first.abort();
+            let ended = waiting.await.expect("it ends");
+            assert!(matches!(ended, First::Ended(Outcome::Unreachable)), "told as not sent");
+            assert_eq!(upstream.probe(host).await.0, Outcome::Unreachable);
+            sleep(Duration::from_millis(100)).await;
+            assert_eq!(begun.get(), 1, "only what had begun before");
+            // A connection that stands already, with the drain told in the very moment of sending.
+            upstream.pool().place(host, site(true));
+            let mut ready = upstream.pool().connection(host).await.expect("a connection");
+            upstream.pool().place(host, site(false).filter(|_| !gone));
+            let (body, mark) = ready.body(Bytes::from_static(b"{}"), true);
+            let request = hyper::Request::post("/").body(body).expect("a request");
+            assert!(ready.sender().send_request(request).await.is_err() && !mark.written());
+            sleep(Duration::from_millis(100)).await;
+            assert_eq!(begun.get(), 1, "not a byte");
+        }
+    });
+}
+
+/// What may happen to lists, in any order.
+#[derive(Clone, Copy, Debug)]
+enum Act {
+    Silence,
+    Cut,
+    Outage(u64),
+    Drain(bool),
+    Ban(bool),
+}
+
+fn acts() -> impl Strategy<Value = Vec<(Act, u64)>> {
+    let act = prop_oneof![
+        Just(Act::Silence),
+        Just(Act::Cut),
+        (50..9_000u64).prop_map(Act::Outage),
+        any::<bool>().prop_map(Act::Drain),
+        any::<bool>().prop_map(Act::Ban),
+    ];
+    proptest::collection::vec((act, 0..9_000u64), 1..12)
+}
+
+/// Plays them to two conductors. From the moment at which a drain or a ban binds nobody would begin anything there, until it is
+/// taken back.
+async fn keeps_what_was_told(acts: &[(Act, u64)], asked: bool) {
+    let scene = Scene::open(2, asked).await;
+    let slack = if asked { TOLD_AFTER + GRACE } else { GRACE };
+    // When what drains counts as told at the latest, if it drains.
+    let mut told: Option<Instant> = None;
+    let mut silent = Instant::now();
+    let mut banned = false;
+    for &(act, wait) in acts {
+        match act {
+            Act::Silence => {
+                // What is told from now on may be missed, and so may what was told in this moment.
+                silent = scene.now(|w| w.silenced += 1) + TOLD_AFTER;
+                told = told.map(|at| if scene.sending() > 0 { at.max(silent) } else { at });
+            }
+            Act::Cut => _ = scene.now(|w| w.cut += 1),
+            Act::Outage(ms) => {
+                scene.now(|w| w.down = true);
+                sleep(Duration::from_millis(ms)).await;
+                let back = scene.now(|w| w.down = false);
+                // An outage shorter than the silence of a watch is silence, as the pages have it.
+                silent = silent.max(back - Duration::from_millis(ms) + TOLD_AFTER);
+                told = told.map(|at| if scene.sending() > 0 { at.max(back) } else { at });
+            }
+            Act::Drain(drains) => {
+                let now = scene.now(|w| (w.draining, w.version) = (drains, w.version + 1));
+                told = drains.then(|| told.unwrap_or(now.max(silent)));
+            }
+            Act::Ban(out) => {
+                for fleet in &scene.fleets {
+                    let _ = if out { fleet.ban("r1").await } else { fleet.lift("r1").await };
+                }
+                banned = out;
+            }
+        }
+        let until = Instant::now() + Duration::from_millis(wait);
+        loop {
+            let binds = banned || told.is_some_and(|at| Instant::now() >= at + slack);
+            assert!(!binds || scene.sending() == 0, "{act:?} in {acts:?}, asked {asked}");
+            if Instant::now() >= until {
+                break;
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
+
+#[test]
+fn no_order_of_lists_cuts_outages_and_bans_leaves_a_send_past_its_deadline() {
+    let config = ProptestConfig { cases: 96, failure_persistence: None, ..ProptestConfig::default() };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let played = TestRunner::new_with_rng(config, rng).run(&acts(), |acts| {
+        for asked in [false, true] {
+            let runtime =
+                tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+            LocalSet::new().block_on(&runtime.expect("a runtime"), keeps_what_was_told(&acts, asked));
+        }
+        Ok(())
+    });
+    played.expect("what was told is kept");
+}
