Ask an agent that refused a call again within the grace of drains

Need: backoff after a refusal was the same for an agent as for a shared service, up to 38 s at 350 conductors, though what an agent has counts as told at once.

Change: after a refusal an agent is asked again after a quarter to a half of the grace.

--- a/src/node/list/pace.rs
+++ b/src/node/list/pace.rs
@@ -69,6 +69,8 @@
             (span(settings.rules.ask_within) * FAILED_COUNTS).saturating_sub(TURN).max(Self::BETWEEN);
         let (first, most) = (REFUSED_EACH.0 * settings.routers, REFUSED_EACH.1 * settings.routers);
         let (first, most) = (first.clamp(STEP.1, counts), most.clamp(Self::BETWEEN, counts));
+        // An agent that turns a call away is asked again within the grace: nobody else is in its way.
+        let (first, most) = step.map_or((first, most), |step| (step, step * STEPS / 2));
         Pace { step, backoff: Backoff::new(first, most, seed), calls: 0 }
     }
 
--- a/tests/lists.rs
+++ b/tests/lists.rs
@@ -283,6 +283,17 @@
     });
 }
 
+#[test]
+fn an_agent_that_refused_is_heard_within_the_grace() {
+    at_each_size(async |conductors| {
+        let scene = Scene::open(conductors, false).await;
+        scene.now(|w| (w.refuses, w.cut) = (true, w.cut + 1));
+        sleep(Duration::from_secs(20)).await;
+        let back = scene.now(|w| (w.refuses, w.draining, w.version) = (false, true, 2));
+        scene.drained(back, GRACE).await;
+    });
+}
+
 #[test]
 fn a_service_that_refuses_is_asked_less_and_less_but_no_longer_than_a_failed_call_counts() {
     at_each_size(async |conductors| {
