Ask a shared discovery again within what counts as told, whatever became of a call

Seen in list/pace: after refusals by a shared service the wait grew to four times askWithin (38 s); a call that stayed silent cost its 2 s and up to 4 s more before the next one; a watch whose answer stopped behind its head counted as heard for 2.6 s.

Change: one bound. The next call to a shared service begins within 4 s of the last call's begin or the last line heard, whatever the fate of what is open; refusals only spread the calls within that. A watch is heard with its first bytes, and an agent goes on being asked beside one that has brought none. Calls that are waited for long are bounded in number.

--- a/src/node/list/discovery.rs
+++ b/src/node/list/discovery.rs
@@ -17,7 +17,7 @@
 
 use super::fleet::Fleet;
 use super::membership::{OlderList, Targets};
-use super::pace::{Cause, Pace};
+use super::pace::{Cause, Pace, Patience};
 use super::targets::{Faults, MOST, Reader, Unreadable};
 use crate::node::counters::add;
 
@@ -50,7 +50,8 @@
 /// What a call has brought.
 enum Heard {
     Whole(Targets, Faults),
-    Watch(Incoming),
+    /// The watch, and the first bytes on it.
+    Watch(Incoming, Bytes),
 }
 
 /// An open watch.
@@ -72,6 +73,8 @@
     calls: JoinSet<Result<Heard, WatchError>>,
     /// When to begin the next call.
     next: Option<Instant>,
+    /// When the last call began.
+    asked: Instant,
     /// Since when discovery has not been heard.
     unheard: Option<Instant>,
 }
@@ -80,13 +83,13 @@
     /// A directory for this fleet; `told` turns true with the first list.
     pub fn new(fleet: Rc<Fleet>, pace: Pace, told: watch::Sender<bool>) -> Self {
         let (calls, next) = (JoinSet::new(), None);
-        Directory { fleet, pace, told, watch: None, calls, next, unheard: None }
+        Directory { fleet, pace, told, watch: None, calls, next, asked: Instant::now(), unheard: None }
     }
 
     /// Follows discovery for ever, wherever it is. At a new address the whole list is asked for again: its versions may
     /// not go on from the old one's.
     pub async fn follow(mut self, mut address: watch::Receiver<SocketAddr>) {
-        self.ask_after(Cause::Start);
+        self.ask_after(Cause::Start, Instant::now());
         loop {
             let silence = self.pace.silence();
             tokio::select! {
@@ -96,7 +99,7 @@
                     self.fleet.forget_version();
                     (self.watch, self.calls) = (None, JoinSet::new());
                     self.pace.reset();
-                    self.ask_after(Cause::Moved);
+                    self.ask_after(Cause::Moved, Instant::now());
                 }
                 part = piece(&mut self.watch, silence) => self.take_part(part),
                 Some(done) = self.calls.join_next() => match done {
@@ -112,8 +115,9 @@
         }
     }
 
-    fn ask_after(&mut self, cause: Cause) -> Duration {
-        let wait = self.pace.after(cause);
+    /// The wait before the next call, where nothing has been heard since then.
+    fn ask_after(&mut self, cause: Cause, since: Instant) -> Duration {
+        let wait = self.pace.after(cause, since.max(self.asked).elapsed());
         self.next = Some(Instant::now() + wait);
         wait
     }
@@ -122,10 +126,10 @@
     /// list costs discovery more.
     fn call(&mut self, addr: SocketAddr) {
         add(&self.fleet.core().counters.watches);
-        let within = self.pace.answer();
-        self.calls.spawn_local(ask(addr, self.fleet.version(), within));
-        // Where a call costs nothing, one that stays unanswered must not hide that discovery is back.
-        self.next = self.pace.beside().map(|step| Instant::now() + step);
+        self.asked = Instant::now();
+        self.calls.spawn_local(ask(addr, self.fleet.version(), self.pace.patience()));
+        // Whatever becomes of this one: a call that stays unanswered must not hide that discovery is back.
+        self.next = Some(self.asked + self.pace.beside());
     }
 
     fn answered(&mut self, heard: Heard) {
@@ -136,14 +140,17 @@
                 self.fleet.forget_version();
                 let _ = self.take(&list, &faults);
                 // From here on the changes; a list without a version can only be asked for again.
-                let again = |pace: &mut Pace| pace.after(Cause::Call);
-                let wait = if list.version.is_some() { Duration::ZERO } else { again(&mut self.pace) };
-                self.next = Some(Instant::now() + wait);
+                if list.version.is_some() {
+                    self.next = Some(Instant::now());
+                } else {
+                    self.ask_after(Cause::Call, Instant::now());
+                }
             }
-            Heard::Watch(body) => {
+            Heard::Watch(body, first) => {
                 let now = Instant::now();
                 self.watch =
                     Some(Watch { body, reader: Reader::default(), begun: now, heard: now, told: false });
+                self.take_part(Ok(Some(first)));
             }
         }
     }
@@ -155,14 +162,14 @@
             }
             _ => Cause::Call,
         };
+        let due = self.next.filter(|_| cause == Cause::Call);
         if cause == Cause::Refused {
             self.calls = JoinSet::new();
         }
-        let wait = match self.next {
-            // Another one is due in any case.
-            Some(at) if cause == Cause::Call => at.saturating_duration_since(Instant::now()),
-            _ => self.ask_after(cause),
-        };
+        self.ask_after(cause, self.asked);
+        // Another one may be due sooner in any case.
+        self.next = self.next.min(due.or(self.next));
+        let wait = self.next.map_or(Duration::ZERO, |at| at.saturating_duration_since(Instant::now()));
         self.lost(fault, wait);
     }
 
@@ -193,7 +200,7 @@
         };
         let Some(lost) = self.watch.take() else { return };
         let silent = matches!(fault, WatchError::Silent);
-        let wait = self.ask_after(self.pace.lost(lost.begun.elapsed(), silent));
+        let wait = self.ask_after(self.pace.lost(lost.begun.elapsed(), silent), lost.heard);
         self.lost(&fault, wait);
     }
 
@@ -242,12 +249,14 @@
     }
 }
 
-/// Asks for the changes since this version, or for the whole list.
-async fn ask(addr: SocketAddr, since: Option<u64>, within: Duration) -> Result<Heard, WatchError> {
+/// Asks for the changes since this version, or for the whole list. A watch is heard with its first bytes: behind a head alone
+/// may stand a service that is gone by then.
+async fn ask(addr: SocketAddr, since: Option<u64>, patience: Patience) -> Result<Heard, WatchError> {
+    let begun = Instant::now();
     let Some(since) = since else {
-        let by = Instant::now() + within;
-        let mut body = get(addr, "/api/targets", within).await?;
+        let mut body = get(addr, "/api/targets", patience.answer).await?;
         let mut text = BytesMut::new();
+        let by = begun + patience.answer;
         while let Some(part) = timeout_at(by, body.frame()).await.map_err(|_| WatchError::Silent)? {
             text.extend_from_slice(&part?.into_data().unwrap_or_default());
             if text.len() > MOST {
@@ -257,7 +266,15 @@
         let (list, faults) = Targets::parse(&text)?;
         return Ok(Heard::Whole(list, faults));
     };
-    Ok(Heard::Watch(get(addr, &format!("/api/targets?follow=1&since={since}"), within).await?))
+    let mut body = get(addr, &format!("/api/targets?follow=1&since={since}"), patience.answer).await?;
+    let by = begun + patience.first_line;
+    while let Some(part) = timeout_at(by, body.frame()).await.map_err(|_| WatchError::Silent)? {
+        let first = part?.into_data().unwrap_or_default();
+        if !first.is_empty() {
+            return Ok(Heard::Watch(body, first));
+        }
+    }
+    Err(WatchError::Ended)
 }
 
 async fn get(addr: SocketAddr, path: &str, within: Duration) -> Result<Incoming, WatchError> {
--- a/src/node/list/pace.rs
+++ b/src/node/list/pace.rs
@@ -18,6 +18,10 @@
 /// For a shared service to take a call and to answer it: calls wait in turn there, and one that is given up has cost its
 /// work in vain.
 const TURN: Duration = Duration::from_secs(2);
+/// Between the last moment at which a shared service was asked, or a line of it heard, and the next call: with the turn
+/// that its answer takes, nothing that it has stays unheard for longer than it takes to count as told, whatever becomes of
+/// the calls.
+const ASK_WITHIN: Duration = TOLD_AFTER.saturating_sub(TURN);
 /// By which a line of a shared service may be late before the watch counts as lost.
 const LATE: Duration = Duration::from_millis(600);
 /// The shortest and the longest step between calls to an agent, whatever grace the settings give.
@@ -26,11 +30,11 @@
 const STEPS: u32 = 4;
 /// One call in so many is waited for as long as a shared service's: an agent on a machine that is short of time is slow.
 const PATIENT: u32 = 8;
-/// After a refusal: so much for each conductor that may have been refused with this one, up to the time for which a failed
-/// call counts as asked.
-const REFUSED_EACH: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(200));
-/// A failed call counts so many times as long as one that was answered.
-const FAILED_COUNTS: u32 = 4;
+/// Nor are such calls begun more often: they bound how many are open at once.
+const PATIENT_EVERY: Duration = Duration::from_millis(500);
+/// The first wait after a call in vain to a shared service: so much for each conductor that may have been refused with this
+/// one, up to [`ASK_WITHIN`], as far as every wait grows.
+const REFUSED_EACH: Duration = Duration::from_millis(50);
 
 /// Why discovery is to be asked now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -47,6 +51,15 @@
     Refused,
 }
 
+/// How long a call is waited for, each from its begin on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Patience {
+    /// For its answer: the head of a watch, the whole of a list.
+    pub answer: Duration,
+    /// For the first bytes on a watch, which brings a line at least every [`LINE_EVERY`].
+    pub first_line: Duration,
+}
+
 /// The waits of one conductor.
 #[derive(Clone, Debug)]
 pub struct Pace {
@@ -57,20 +70,13 @@
 }
 
 impl Pace {
-    /// The longest wait between calls to a shared service that does not answer: what changes there meanwhile is heard in
-    /// time by the next one.
-    const BETWEEN: Duration = TOLD_AFTER.saturating_sub(TURN);
-
     /// The waits that these settings ask for.
     pub fn new(settings: &Settings, seed: u64) -> Self {
         let grace = span(settings.rules.drain_grace);
         let step = (!settings.ask_for_list).then(|| (grace / STEPS).clamp(STEP.0, STEP.1));
-        let counts =
-            (span(settings.rules.ask_within) * FAILED_COUNTS).saturating_sub(TURN).max(Self::BETWEEN);
-        let (first, most) = (REFUSED_EACH.0 * settings.routers, REFUSED_EACH.1 * settings.routers);
-        let (first, most) = (first.clamp(STEP.1, counts), most.clamp(Self::BETWEEN, counts));
+        let first = REFUSED_EACH.saturating_mul(settings.routers).clamp(STEP.1, ASK_WITHIN);
         // An agent that turns a call away is asked again within the grace: nobody else is in its way.
-        let (first, most) = step.map_or((first, most), |step| (step, step * STEPS / 2));
+        let (first, most) = step.map_or((first, ASK_WITHIN), |step| (step, step * STEPS / 2));
         Pace { step, backoff: Backoff::new(first, most, seed), calls: 0 }
     }
 
@@ -79,34 +85,43 @@
         LINE_EVERY + self.step.unwrap_or(LATE)
     }
 
-    /// For the next call to be answered.
-    pub fn answer(&mut self) -> Duration {
+    /// How long the next call is waited for.
+    pub fn patience(&mut self) -> Patience {
         self.calls = self.calls.wrapping_add(1);
         match self.step {
-            Some(step) if !self.calls.is_multiple_of(PATIENT) => step * STEPS,
-            _ => TURN,
+            Some(step)
+                if !self.calls.is_multiple_of(PATIENT.max(PATIENT_EVERY.div_duration_f64(step) as u32)) =>
+            {
+                Patience { answer: step * STEPS, first_line: step * STEPS }
+            }
+            _ => Patience { answer: TURN, first_line: TURN + self.silence() },
         }
     }
 
-    /// After which a call is begun beside those that are not answered yet, where that may be: an agent on the own machine
-    /// answers at once and at no cost, and what it has counts as told at once.
-    pub fn beside(&self) -> Option<Duration> {
-        self.step
+    /// After which a call is begun beside those that are not answered yet. An agent on the own machine answers at once and at
+    /// no cost, and what it has counts as told at once; at a shared service this only bounds what becomes of a call.
+    pub fn beside(&self) -> Duration {
+        self.step.unwrap_or(ASK_WITHIN)
     }
 
-    /// The wait before the next call.
-    pub fn after(&mut self, cause: Cause) -> Duration {
-        let (silence, shared) = (self.silence(), self.step.is_none());
+    /// The wait before the next call; `unheard` for so long now nothing was heard and no call was begun.
+    pub fn after(&mut self, cause: Cause, unheard: Duration) -> Duration {
+        if let Some(step) = self.step {
+            return match cause {
+                Cause::Refused => self.backoff.after(Duration::ZERO, Duration::MAX),
+                Cause::Call => step,
+                Cause::Start | Cause::Moved | Cause::Watch => Duration::ZERO,
+            };
+        }
+        // All conductors lose a shared service, or start, in the same moment: their calls are spread over what is left until
+        // what they missed counts as told.
+        let left = ASK_WITHIN.saturating_sub(unheard);
         match cause {
-            Cause::Refused => self.backoff.after(Duration::ZERO),
-            Cause::Call if !shared => self.step.unwrap_or_default(),
-            _ if !shared => Duration::ZERO,
-            // All conductors lose a shared service, or start, in the same moment: their calls are spread over what is left
-            // until what they missed counts as told.
             Cause::Start => self.backoff.within(TURN / 2),
             Cause::Moved => self.backoff.within(MOVED_TOLD_AFTER - TURN),
-            Cause::Watch => self.backoff.within(TOLD_AFTER - TURN - silence),
-            Cause::Call => self.backoff.within(Self::BETWEEN),
+            Cause::Watch => self.backoff.within(left),
+            // In vain: the later, the less a service is asked that has more than it can do.
+            Cause::Call | Cause::Refused => self.backoff.after(Duration::ZERO, left),
         }
     }
 
