Begin nothing for a client that has gone, and see it go behind unread bytes

Seen: what a client had sent behind its open request hid its close. And live() waited up to 250 ms for a release before a read, and up to a second for a late connection, without a last look at the client.

Change: while a request has come whole and waits for its answer, what comes behind it is read past, bounded by one scratch buffer, until the connection ends; that was to be closed behind its answer in any case. After SIGTERM the same. Directly before the first byte the connection looks whether the client still waits, in the same place as for drains (pool::Gate); what is stopped there is told as never sent. The earlier look after the connection came up is gone: one place counts now.

Checked: tests/exchanges/left_behind_bytes, left_after_sigterm, chat_left_behind_bytes; tests/lists.rs for late, awaited and standing connections at both stages.

--- a/src/node/front/intake.rs
+++ b/src/node/front/intake.rs
@@ -7,6 +7,8 @@
 use std::mem::MaybeUninit;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -70,10 +72,12 @@
 }
 
 /// How a request arrived, for the fronts.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Arrival {
     /// When the client could have begun to send it.
     since: Instant,
+    /// Its body has been read to its end.
+    whole: Arc<AtomicBool>,
     /// Its head gave the body's length in two ways; a part of it may be meant as another request.
     pub conflicting: bool,
 }
@@ -91,6 +95,8 @@
     /// Of them, how many the open request has.
     body: Cell<u64>,
     unfit: Cell<u32>,
+    /// Whether the open request's body has been read to its end; none while no request waits for its answer.
+    whole: RefCell<Option<Arc<AtomicBool>>>,
     making_room: Notify,
     /// A request's head was taken.
     head_taken: Notify,
@@ -107,6 +113,7 @@
             behind: Cell::new(0),
             body: Cell::new(0),
             unfit: Cell::new(0),
+            whole: RefCell::default(),
             making_room: Notify::new(),
             head_taken: Notify::new(),
         })
@@ -201,13 +208,22 @@
         };
         let chunked = request.headers().contains_key(TRANSFER_ENCODING);
         let unsure = !self.head_whole.get() || has(CONTENT_LENGTH.as_str());
-        Arrival { since, conflicting: chunked && unsure }
+        let whole = Arc::<AtomicBool>::default();
+        self.whole.replace(Some(whole.clone()));
+        Arrival { since, whole, conflicting: chunked && unsure }
+    }
+
+    /// Whether a request has come whole and waits for its answer: what comes now belongs to no request that this connection
+    /// will still answer.
+    fn waits(&self) -> bool {
+        self.whole.borrow().as_ref().is_some_and(|whole| whole.load(Ordering::Relaxed))
     }
 
     /// A request has its answer, or the head of it; whether the connection can go on. One that brought more, or
     /// less, than its request cannot: where the next one begins would not be known.
     pub fn answered(&self, framed: Framed, unfit: bool) -> bool {
         self.unfit.set(self.unfit.get() + u32::from(unfit));
+        self.whole.take();
         self.head_whole.set(false);
         self.body.set(0);
         framed == Framed::Length(self.behind.replace(0)) && self.unfit.get() < UNFIT_MOST
@@ -263,13 +279,28 @@
         Stream { io: self.io.clone(), line: self.line.clone() }
     }
 
+    /// Waits until the client has closed the connection while its request waits for the answer. The library does not look for
+    /// that behind bytes that it has not taken, so these are read past: a connection on which anything came behind a request
+    /// closes with the answer to it. The library has to have had its turn to read before each look.
+    pub async fn gone(mut self) {
+        let line = self.line.clone();
+        loop {
+            let read = poll_fn(|cx| if line.waits() { self.poll_discard(cx) } else { Poll::Pending }).await;
+            if read == 0 {
+                return;
+            }
+            line.behind.set(line.behind.get() + read as u64);
+            sleep(LINGER_PAUSE).await;
+        }
+    }
+
     /// Ends the sending side and reads on for a while, until the client closes or others need the room.
     pub async fn leave(mut self) {
         let line = self.line.clone();
         line.turn(Stage::Leaving);
         let last = async {
             let _ = self.shutdown().await;
-            while poll_fn(|cx| self.poll_discard(cx)).await {
+            while poll_fn(|cx| self.poll_discard(cx)).await > 0 {
                 sleep(LINGER_PAUSE).await;
             }
         };
@@ -279,12 +310,12 @@
         }
     }
 
-    /// Reads past what came; false at the end.
-    fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<bool> {
+    /// Reads past what came, so many bytes; none at the end.
+    fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<usize> {
         let mut scratch = [MaybeUninit::uninit(); SCRATCH];
         let mut buffer = ReadBuf::uninit(&mut scratch);
         let read = ready!(Pin::new(&mut *self.io.borrow_mut()).poll_read(cx, &mut buffer));
-        Poll::Ready(read.is_ok() && !buffer.filled().is_empty())
+        Poll::Ready(read.map_or(0, |()| buffer.filled().len()))
     }
 }
 
@@ -482,6 +513,7 @@
     let now = Instant::now();
     let since = request.extensions().get::<Arrival>().map_or(now, |arrival| arrival.since);
     let until = (since + REQUEST_TIME).max(now + BODY_LEAST);
+    let arrived = request.extensions().get::<Arrival>().map(|arrival| arrival.whole.clone());
     let mut body = pin!(request.body_mut());
     let hint = body.size_hint().lower();
     if hint > DISCARD_MOST as u64 {
@@ -512,6 +544,7 @@
         }
     };
     let text = timeout_at(until, read).await.unwrap_or(Err(BodyError::Slow))?;
+    arrived.inspect(|whole| whole.store(true, Ordering::Relaxed));
     Ok((text, room))
 }
 
--- a/src/node/front/mod.rs
+++ b/src/node/front/mod.rs
@@ -212,7 +212,7 @@
     let line = place.line.clone();
     let (used, mut first) = watch::channel(false);
     let stream = Stream::new(io, line.clone());
-    let last = stream.handle();
+    let (last, watched) = (stream.handle(), stream.handle());
     let service = tower::service_fn(move |request| {
         used.send_replace(true);
         one_request(service.clone(), line.clone(), request)
@@ -224,22 +224,28 @@
         .serve_connection(TokioIo::new(stream), TowerToHyperService::new(service));
     // Its own box: what is left of the connection is let go of before the last bytes are read past.
     let mut served = Box::pin(served);
+    let line = place.line.clone();
     let ending = async {
         shutdown.once(Readiness::lets_go).await;
         // Guards the requests that still arrive: the library closes a connection that has brought nothing
         // yet at once, and the client's request with it.
         let _ = timeout(STILL_ARRIVING, first.wait_for(|used| *used)).await;
-        place.line.between_heads().await;
+        line.between_heads().await;
     };
+    let (mut gone, mut ending) = (pin!(watched.gone()), pin!(ending));
+    let mut ends = false;
     // A client that breaks off, or a stream that broke, is told by the request's own task.
-    let ended = tokio::select! {
-        biased;
-        // First: a request that crosses this must not be begun and then dropped.
-        () = place.line.made_room() => return,
-        ended = &mut served => ended,
-        () = ending => {
-            served.as_mut().graceful_shutdown();
-            served.as_mut().await
+    let ended = loop {
+        tokio::select! {
+            biased;
+            // First: a request that crosses this must not be begun and then dropped.
+            () = place.line.made_room(), if !ends => return,
+            ended = &mut served => break ended.map_err(|fault| fault.to_string()),
+            () = &mut gone => break Err("the client has gone".to_owned()),
+            () = &mut ending, if !ends => {
+                served.as_mut().graceful_shutdown();
+                ends = true;
+            }
         }
     };
     if let Err(fault) = ended {
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -1,6 +1,9 @@
 //! The life of one request, from intake to its one final answer.
 
+use std::cell::RefCell;
+use std::future::poll_fn;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
 use tokio::sync::{mpsc, oneshot};
@@ -59,9 +62,23 @@
     pub revision: Option<Revision>,
 }
 
+/// The way back to the client, until it has its answer.
+type Way = Rc<RefCell<Option<oneshot::Sender<Given>>>>;
+
+/// Whether a request's client still waits for its answer: looked at directly before anything is sent for it.
+#[derive(Clone)]
+pub struct Wanted(Way);
+
+impl Wanted {
+    /// Whether it does.
+    pub fn holds(&self) -> bool {
+        self.0.borrow().as_ref().is_some_and(|way| !way.is_closed())
+    }
+}
+
 /// The way back to the client. It shows when the client leaves.
 pub struct Caller {
-    way: Option<oneshot::Sender<Given>>,
+    way: Way,
     id: Rc<str>,
     revision: Option<Revision>,
 }
@@ -70,20 +87,28 @@
     /// The caller of the request with this id, and where its front waits for the answer.
     pub fn new(id: Rc<str>) -> (Self, oneshot::Receiver<Given>) {
         let (sender, receiver) = oneshot::channel();
-        (Caller { way: Some(sender), id, revision: None }, receiver)
+        let way = Rc::new(RefCell::new(Some(sender)));
+        (Caller { way, id, revision: None }, receiver)
+    }
+
+    /// Whether the client still waits, for those who send for it.
+    pub fn wanted(&self) -> Wanted {
+        Wanted(self.way.clone())
     }
 
     /// Waits until the client leaves; never ends once it has its answer.
     async fn left(&mut self) {
-        match &mut self.way {
-            Some(sender) => sender.closed().await,
-            None => std::future::pending().await,
-        }
+        let way = &self.way;
+        poll_fn(|cx| match &mut *way.borrow_mut() {
+            Some(sender) => sender.poll_closed(cx),
+            None => Poll::Pending,
+        })
+        .await;
     }
 
     /// Gives the final answer, once; false when the client has left.
     fn answer(&mut self, answer: Answer) -> bool {
-        let Some(way) = self.way.take() else { return false };
+        let Some(way) = self.way.borrow_mut().take() else { return false };
         if let Some(revision) = self.revision {
             tracing::info!("request {}: {} under revision {revision}", self.id, answer.name());
         }
@@ -225,7 +250,12 @@
         // 2. The attempt, until it ends, is withdrawn, or its stream begins.
         let reader = core.upstream.reads(host);
         if reader {
-            held.settle().await;
+            tokio::select! {
+                biased;
+                // Told below, by the look before the first byte.
+                () = caller.left() => {}
+                () = held.settle() => {}
+            }
         }
         let until = (begun + span(time_out)).min(deadline);
         let (first, load) =
@@ -305,7 +335,7 @@
     caller: &mut Caller, over: &mut bool, overdue: Instant,
 ) -> (First, Option<Load>) {
     let withdrawn = (First::Ended(Outcome::Cancelled), None);
-    let first = core.upstream.first(host, payload, until);
+    let first = core.upstream.first(host, payload, until, caller.wanted());
     tokio::pin!(first);
     loop {
         tokio::select! {
--- a/src/node/upstream/attempt.rs
+++ b/src/node/upstream/attempt.rs
@@ -11,9 +11,10 @@
 use tokio::time::{Instant, timeout, timeout_at};
 
 use super::events::Events;
-use super::pool::{Connection, Pool, WriteMark};
+use super::pool::{Connection, Gate, HeldBack, Pool, WriteMark};
 use crate::api::{HostId, Load, Micros, Outcome, Role};
 use crate::node::counters::{Counters, add};
+use crate::node::request::Wanted;
 
 /// Most of an answer without a stream that is read.
 const ANSWER_MOST: usize = 256 * 1024;
@@ -133,13 +134,13 @@
     }
 
     /// Sends the request to a host and waits until `until` for what it comes to. Dropping the future gives the
-    /// attempt up: its connection closes.
+    /// attempt up: its connection closes. It does not begin once its client is no longer `wanted`.
     pub async fn first(
-        self: &Rc<Self>, host: HostId, payload: &Payload, until: Instant,
+        self: &Rc<Self>, host: HostId, payload: &Payload, until: Instant, wanted: Wanted,
     ) -> (First, Option<Load>) {
         add(&self.counters.attempts);
         let (begun, mut written) = (Instant::now(), None);
-        match timeout_at(until, self.exchange(host, payload, until, &mut written)).await {
+        match timeout_at(until, self.exchange(host, payload, (until, wanted), &mut written)).await {
             Ok((First::Ended(outcome), load)) => {
                 if matches!(outcome, Outcome::Unreachable | Outcome::Broken) {
                     self.pool.distrust(host);
@@ -156,15 +157,16 @@
     }
 
     async fn exchange(
-        self: &Rc<Self>, host: HostId, payload: &Payload, until: Instant, written: &mut Option<WriteMark>,
+        self: &Rc<Self>, host: HostId, payload: &Payload, (until, wanted): (Instant, Wanted),
+        written: &mut Option<WriteMark>,
     ) -> (First, Option<Load>) {
         let ended = |outcome| (First::Ended(outcome), None);
         let (connection, response) = loop {
             *written = None;
-            let Some(mut connection) = self.connection(host).await else {
+            let Ok(mut connection) = self.pool.connection(host).await else {
                 return ended(Outcome::Unreachable);
             };
-            let (body, mark) = connection.body(payload.body.clone(), true);
+            let (body, mark) = connection.body(payload.body.clone(), Gate::New(Some(wanted.clone())));
             *written = Some(mark.clone());
             let mut request = Request::new(body);
             self.head(host, payload, until, &mut request);
@@ -174,6 +176,14 @@
                 // kept connection that had just closed, is another one used. Nothing is ever sent twice.
                 Err(mut fault) => {
                     let untouched = fault.take_message().is_some() && !mark.written();
+                    if let Some(why) = mark.held_back() {
+                        add(&self.counters.held_back);
+                        tracing::info!("host {}: not sent, {why}", host.0);
+                        return ended(match why {
+                            HeldBack::ClientGone => Outcome::Moot,
+                            HeldBack::Drains => Outcome::Unreachable,
+                        });
+                    }
                     if !untouched || connection.fresh() {
                         return ended(match (mark.written(), fault.error().is_parse()) {
                             (false, _) => Outcome::Unreachable,
@@ -238,23 +248,12 @@
         addr.map(|addr| headers.insert(HOST, addr));
     }
 
-    /// A connection for something new. Since the decision, or while the connection was made, the instance may have begun to
-    /// drain: what was meant for it has not been sent then.
-    async fn connection(&self, host: HostId) -> Option<Connection> {
-        let connection = self.pool.connection(host).await.ok()?;
-        if self.pool.site(host).is_some_and(|site| site.ready) {
-            return Some(connection);
-        }
-        add(&self.counters.held_back);
-        tracing::info!("host {} drains or is gone since it was chosen: not sent", host.0);
-        None
-    }
-
     /// A call without a body: its answer with the body read, while an answer of any kind came.
     async fn call(
         &self, host: HostId, mut connection: Connection, method: Method, path: &str,
     ) -> Option<Response<Bytes>> {
-        let (body, _) = connection.body(Bytes::new(), method != Method::DELETE);
+        let gate = if method == Method::DELETE { Gate::Passed } else { Gate::New(None) };
+        let (body, _) = connection.body(Bytes::new(), gate);
         let mut request = Request::builder().method(method).uri(path).body(body).ok()?;
         self.host_header(host, request.headers_mut());
         let response = connection.sender().try_send_request(request).await.ok()?;
@@ -276,7 +275,7 @@
     pub async fn probe(&self, host: HostId) -> (Outcome, Option<Load>) {
         add(&self.counters.probes);
         let asked = async {
-            let connection = self.connection(host).await?;
+            let connection = self.pool.connection(host).await.ok()?;
             self.call(host, connection, Method::GET, "/-/load").await
         };
         match timeout(PROBE, asked).await {
--- a/src/node/upstream/pool.rs
+++ b/src/node/upstream/pool.rs
@@ -24,6 +24,7 @@
 use crate::api::{HostId, Role};
 use crate::node::counters::{Counters, add};
 use crate::node::front::intake::shared;
+use crate::node::request::Wanted;
 
 /// Longest that a connection stands idle before it is closed, whatever the settings say: machines have been seen to
 /// close theirs after 4 s where the settings say 30, and a request that crosses the close ends as a reset.
@@ -82,6 +83,19 @@
     Handed,
     /// The buffer with the last byte was flushed to the socket.
     Yes,
+    /// The look before the first byte stopped it.
+    Stopped(HeldBack),
+}
+
+/// Why a request that had been decided on did not begin.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum HeldBack {
+    /// Its instance drains or is gone.
+    #[error("it drains or is gone since it was chosen")]
+    Drains,
+    /// Its client has gone.
+    #[error("the client has gone")]
+    ClientGone,
 }
 
 /// Tells whether a request's last byte has been written to the socket.
@@ -93,6 +107,11 @@
     pub fn written(&self) -> bool {
         self.0.get() == Written::Yes
     }
+
+    /// Why not a byte of it was written, where the look before the first one stopped it.
+    pub fn held_back(&self) -> Option<HeldBack> {
+        if let Written::Stopped(why) = self.0.get() { Some(why) } else { None }
+    }
 }
 
 /// A request body in one piece that marks when it has been handed over.
@@ -122,12 +141,12 @@
 }
 
 /// What stands before the first byte of a request.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-enum Gate {
-    /// New work: only while the instance may be sent any.
-    #[default]
-    New,
+#[derive(Clone, Default)]
+pub enum Gate {
+    /// New work: only while the instance may be sent any, and for a request only while its client waits.
+    New(Option<Wanted>),
     /// Nothing: the request has begun, or it lets go of what is held.
+    #[default]
     Passed,
 }
 
@@ -137,16 +156,19 @@
 struct Watched {
     socket: TcpStream,
     mark: WriteMark,
-    gate: Rc<Cell<Gate>>,
+    gate: Rc<RefCell<Gate>>,
     open: Rc<Cell<bool>>,
 }
 
 impl Watched {
     fn pass(&self) -> io::Result<()> {
-        if self.gate.replace(Gate::Passed) == Gate::Passed || self.open.get() {
-            return Ok(());
-        }
-        Err(io::Error::other("the instance drains"))
+        let why = match self.gate.take() {
+            Gate::New(_) if !self.open.get() => HeldBack::Drains,
+            Gate::New(Some(wanted)) if !wanted.holds() => HeldBack::ClientGone,
+            _ => return Ok(()),
+        };
+        self.mark.0.set(Written::Stopped(why));
+        Err(io::Error::other(why))
     }
 }
 
@@ -192,7 +214,7 @@
 pub struct Connection {
     sender: SendRequest<Outgoing>,
     mark: WriteMark,
-    gate: Rc<Cell<Gate>>,
+    gate: Rc<RefCell<Gate>>,
     driver: AbortHandle,
     since: Instant,
     fresh: bool,
@@ -205,11 +227,11 @@
 }
 
 impl Connection {
-    /// A body for the next request on this connection, and the mark that tells when it is written. The request is `new`
-    /// work, which does not begin at an instance that drains, or lets go of what is held, which any instance takes.
-    pub fn body(&self, data: Bytes, new: bool) -> (Outgoing, WriteMark) {
+    /// A body for the next request on this connection, and the mark that tells when it is written. The `gate` says whether it
+    /// is new work, which does not begin at an instance that drains, or lets go of what is held, which any instance takes.
+    pub fn body(&self, data: Bytes, gate: Gate) -> (Outgoing, WriteMark) {
         self.mark.0.set(Written::No);
-        self.gate.set(if new { Gate::New } else { Gate::Passed });
+        self.gate.replace(gate);
         (Outgoing { data: Some(data).filter(|d| !d.is_empty()), mark: self.mark.clone() }, self.mark.clone())
     }
 
@@ -339,7 +361,7 @@
         let permit = self.permit().await?;
         let socket = TcpStream::connect(addr).await.map_err(|_| NoConnection)?;
         socket.set_nodelay(true).map_err(|_| NoConnection)?;
-        let (mark, gate) = (WriteMark::default(), Rc::<Cell<Gate>>::default());
+        let (mark, gate) = (WriteMark::default(), Rc::<RefCell<Gate>>::default());
         let io = TokioIo::new(Watched { socket, mark: mark.clone(), gate: gate.clone(), open });
         let made = http1::Builder::new().max_buf_size(BUFFER).handshake(io).await;
         let (sender, connection) = made.map_err(|_| NoConnection)?;
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -17,6 +17,7 @@
     chat_bad_input
     chat_error_event
     chat_left
+    chat_left_behind_bytes
     chat_refused
     chat_stream
     chat_unsafe_broken_after
@@ -27,6 +28,8 @@
     discovery
     drain
     intake
+    left_after_sigterm
+    left_behind_bytes
     left_while_reading
     left_while_streaming
     maintenance
--- a/tests/lists.rs
+++ b/tests/lists.rs
@@ -15,8 +15,9 @@
 use croftsill::node::list::membership::{Membership, Targets};
 use croftsill::node::list::pace::Pace;
 use croftsill::node::planner::Planner;
+use croftsill::node::request::Caller;
 use croftsill::node::upstream::attempt::{Dialect, First, Payload, Upstream};
-use croftsill::node::upstream::pool::{Pool, PoolLimits, Site};
+use croftsill::node::upstream::pool::{Gate, Pool, PoolLimits, Site};
 use croftsill::node::{Clock, Core};
 use croftsill::wire::{Names, settings_from};
 use proptest::prelude::*;
@@ -426,7 +427,10 @@
             let send = || {
                 let (upstream, payload) = (upstream.clone(), payload.clone());
                 let until = Instant::now() + Duration::from_secs(3);
-                spawn_local(async move { upstream.first(host, &payload, until).await.0 })
+                spawn_local(async move {
+                    let (caller, _answer) = Caller::new(payload.id.clone());
+                    upstream.first(host, &payload, until, caller.wanted()).await.0
+                })
             };
             upstream.pool().place(host, site(true));
             // One has the only connection; the next one waits for it.
@@ -445,7 +449,7 @@
             upstream.pool().place(host, site(true));
             let mut ready = upstream.pool().connection(host).await.expect("a connection");
             upstream.pool().place(host, site(false).filter(|_| !gone));
-            let (body, mark) = ready.body(Bytes::from_static(b"{}"), true);
+            let (body, mark) = ready.body(Bytes::from_static(b"{}"), Gate::New(None));
             let request = hyper::Request::post("/").body(body).expect("a request");
             assert!(ready.sender().send_request(request).await.is_err() && !mark.written());
             sleep(Duration::from_millis(100)).await;
@@ -454,6 +458,56 @@
     });
 }
 
+/// What may come between the decision and the first byte of a first attempt or a second stage: the client leaves. No byte
+/// goes out then, on a connection that comes up late, on one that was waited for, and on one that stood ready.
+#[test]
+fn what_was_decided_before_its_client_left_does_not_begin_after_it() {
+    at_each_size(async |conductors| {
+        let (settings, _) = configured(conductors, false);
+        for role in [Role::Read, Role::Write] {
+            let (addr, begun) = mute().await;
+            let (core, _) = core(&settings, 1, 1);
+            let (upstream, host) = (core.upstream, HostId(1));
+            upstream.pool().place(host, Some(Site { addr, role, ready: true }));
+            let payload = Payload {
+                id: "0a".into(),
+                target: "/v1/chat/completions".parse().expect("a path"),
+                content_type: None,
+                body: Bytes::from_static(b"{}"),
+            };
+            let send = || {
+                let (caller, answer) = Caller::new(payload.id.clone());
+                let (upstream, payload) = (upstream.clone(), payload.clone());
+                let until = Instant::now() + Duration::from_secs(3);
+                let attempt =
+                    spawn_local(
+                        async move { upstream.first(host, &payload, until, caller.wanted()).await.0 },
+                    );
+                (attempt, answer)
+            };
+            let (first, _waits) = send();
+            sleep(Duration::from_millis(100)).await;
+            // It waits for the only connection, and its client leaves meanwhile.
+            let (waiting, answer) = send();
+            sleep(Duration::from_millis(100)).await;
+            drop(answer);
+            first.abort();
+            let ended = waiting.await.expect("it ends");
+            assert!(matches!(ended, First::Ended(Outcome::Moot)), "told as never sent");
+            // Its client has left before its connection comes up.
+            let (late, answer) = send();
+            drop(answer);
+            assert!(matches!(late.await.expect("it ends"), First::Ended(Outcome::Moot)));
+            sleep(Duration::from_millis(100)).await;
+            assert_eq!(begun.get(), 1, "only what had begun before");
+            // While its client waits the same attempt begins.
+            let (_last, _waits) = send();
+            sleep(Duration::from_millis(100)).await;
+            assert_eq!(begun.get(), 2);
+        }
+    });
+}
+
 /// What may happen to lists, in any order.
 #[derive(Clone, Copy, Debug)]
 enum Act {
