--- a/src/estimate.rs
+++ b/src/estimate.rs
@@ -5,7 +5,7 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::api::Micros;
+use crate::api::{Micros, NewRequest};
 
 /// Microseconds in which what is known of one host fades by half towards what is known of all.
 pub const FADE: f64 = 6e6;
@@ -80,7 +80,7 @@
     -weight / chance(host, key).ln().min(-1e-12)
 }
 
-/// Decayed least squares of pace over (1, L-1, L(L-1)), for one kind of host.
+/// The Universal Scalability Law inverted, pace = a + b(L-1) + c L(L-1): decayed least squares for one kind of host.
 #[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Curve {
     xx: [[f64; 3]; 3],
@@ -133,6 +133,40 @@
     }
 }
 
+/// Requests of which shares are reckoned: the last so many, or up to half as many.
+const SHARES_OF: f64 = 512.0;
+/// Requests unlike all others that are taken to have come before the first one: few say little.
+const SHARES_BEFORE: f64 = 7.0;
+
+/// How large a part of the requests begins with each text. It follows the requests, not the clock, so that a router that sees
+/// few knows the popular ones as well, only later.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Shares {
+    counts: BTreeMap<u64, f64>,
+    all: f64,
+}
+
+impl Shares {
+    /// A request begins with this text.
+    pub fn count(&mut self, text: u64) {
+        *self.counts.entry(text).or_default() += 1.0;
+        self.all += 1.0;
+        if self.all >= SHARES_OF {
+            self.all /= 2.0;
+            self.counts.retain(|_, count| {
+                *count /= 2.0;
+                *count >= 1.0
+            });
+        }
+    }
+
+    /// The part of all requests that begins with this text, as the next one would make it: few requests leave room for it to
+    /// be more popular than they show.
+    pub fn of(&self, text: u64) -> f64 {
+        (self.counts.get(&text).copied().unwrap_or(0.0) + 1.0) / (self.all + 1.0 + SHARES_BEFORE)
+    }
+}
+
 /// What one router, or all others together, have spent lately. All of it fades to nothing.
 #[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Spending {
@@ -221,6 +255,9 @@
     /// What else was spent; it fades too soon to be handed on.
     #[serde(skip)]
     pub spent: Spending,
+    /// How popular each shared beginning is.
+    #[serde(skip)]
+    pub beginnings: Shares,
 }
 
 impl Learnt {
@@ -243,6 +280,12 @@
         }
     }
 
+    /// A request of so many tokens is taken in.
+    pub fn arrived(&mut self, now: Micros, ask: &NewRequest, tokens: f64) {
+        self.spent.take_in(now, ask.tenant.map(|t| t.0), tokens);
+        ask.prefix.iter().for_each(|text| self.beginnings.count(text.0));
+    }
+
     /// All that was spent lately, for other routers.
     pub fn spending(&self) -> Spending {
         Spending { reads: self.reads, writes: self.writes, ..self.spent.clone() }
--- a/src/logic/admission.rs
+++ b/src/logic/admission.rs
@@ -34,7 +34,7 @@
             token_aim,
             ..Request::default()
         };
-        self.all.spent.take_in(now, ask.tenant.map(|t| t.0), request.footprint);
+        self.all.arrived(now, ask, request.footprint);
         self.requests.insert(ask.id, request);
         self.hold(now, ask.id);
         let homes = self.homes(now, &self.requests[&ask.id], |h| h.takes(now, ask, &self.set.rules));
--- a/src/logic/cold.rs
+++ b/src/logic/cold.rs
@@ -18,7 +18,7 @@
     /// Rule 4 by chance: of what a cold host is the first choice for, this part goes there, from all routers.
     pub(super) fn spared(&self, now: Micros, host: &Host, r: &Request, part: f64) -> bool {
         let warmth = host.warmth(now, &self.set.rules);
-        let key = r.ask.session.unwrap_or(TextKey(r.ask.id.0)).0;
+        let key = r.ask.session.filter(|_| !r.ask.again).unwrap_or(TextKey(r.ask.id.0)).0; // tries again anew
         warmth < 1.0 && chance(host.id.0, !key) > part * self.cold_budget(warmth, &r.by)
     }
 
--- a/src/logic/pairing.rs
+++ b/src/logic/pairing.rs
@@ -4,6 +4,7 @@
 
 const CHOICE: f64 = 4.0; // power of a writer's room in its chance to be chosen: most room mostly, but no herd
 const READERS_A_HOME: usize = 8; // readers for each home that a beginning has: it could outgrow one
+const POPULAR: f64 = 0.75; // of a fair part for cold homes of a popular beginning: few requests tell of it late
 const CELL_SLACK: f64 = 1.15; // of a cell's part of the states that its writers take before others share them
 const STAY_LEAST: f64 = 0.5; // part of the reading that a reader without writers near gets, at least
 const SPARE_LEAST: f64 = 0.05; // weight of a writer whose cell has none to spare, against an idle one
@@ -22,10 +23,10 @@
     pub(super) fn pair(&self, now: Micros, id: RequestId, tested: bool) -> Option<(Option<HostId>, HostId)> {
         let r = self.requests.get(&id)?;
         let may_read = r.sent + 2 <= r.by.limits.max_attempts;
-        let rules = &self.set.rules;
-        let takes = |h: &Host| {
-            h.takes(now, &r.ask, rules) && !self.spared(now, h, r, 1.0) && !self.overbooked(now, h, r)
-        };
+        let share = r.ask.prefix.map_or(0.0, |key| self.all.beginnings.of(key.0));
+        let part = (POPULAR / READERS_A_HOME as f64 / share.max(1e-9)).min(1.0);
+        let spared = |h: &Host| self.spared(now, h, r, part) || self.overbooked(now, h, r);
+        let takes = |h: &Host| h.takes(now, &r.ask, &self.set.rules) && !spared(h);
         let homes = self.homes(now, r, |h| may_read && takes(h));
         if homes.iter().take(ASKED).any(|h| h.asked && now < h.probed_at + ASK_WAIT) {
             return None;
