--- a/src/main.rs
+++ b/src/main.rs
@@ -8,7 +8,6 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
-use std::time::Duration;
 
 use croftsill::api::{HostId, Member, Role};
 #[cfg(feature = "cluster")]
@@ -32,6 +31,7 @@
 use croftsill::node::process::readiness::{Happening, Readiness};
 use croftsill::node::process::reload;
 use croftsill::node::process::shutdown::{STILL_STREAMING, Shutdown};
+use croftsill::node::process::start::{Given, become_ready};
 use croftsill::node::process::succession::{self, Estate, Inherited, Link, Partners};
 #[cfg(feature = "cluster")]
 use croftsill::node::shared::Shared;
@@ -45,11 +45,6 @@
 use tokio::sync::watch;
 use tokio::task::{LocalSet, spawn_local};
 
-/// How long a start waits for discovery before it serves by the list that it was given, which may be old.
-const DISCOVERY_WAIT: Duration = Duration::from_secs(5);
-
-/// The same where an older process has handed its list over, which is as new as that process heard.
-const INHERITED_WAIT: Duration = Duration::from_secs(1);
 /// Clients that may wait in the system's queue.
 const BACKLOG: u32 = 1_024;
 
@@ -131,22 +126,6 @@
     known
 }
 
-/// Says that this process can serve, once it has a list, discovery's or after a while the one that it began with, and is known
-/// to the other conductors and caught up with them.
-async fn become_ready(
-    mut told: watch::Receiver<bool>, (known, wait): (bool, Duration), door: Rc<Door>,
-    caught_up: impl Future<Output = ()>, shutdown: Shutdown,
-) {
-    let in_time = tokio::time::timeout(wait, told.wait_for(|told| *told)).await.is_ok();
-    if !in_time && !known {
-        let _ = told.wait_for(|told| *told).await;
-    }
-    door.registered().await;
-    caught_up.await;
-    tracing::info!("ready, {}", if in_time { "with discovery's list" } else { "discovery is silent" });
-    shutdown.note(Happening::CanServe);
-}
-
 /// Tells the planner when the end is near for streams that still run.
 async fn end_streams(planner: Planner, shutdown: Shutdown) {
     shutdown.once(Readiness::ending).await;
@@ -230,8 +209,7 @@
     let directory = Directory::new(fleet.clone(), Pace::new(&config.settings, config.seed), told);
     let discovery = address.clone();
     spawn_local(directory.follow(address));
-    let wait = if fresh { INHERITED_WAIT } else { DISCOVERY_WAIT };
-    let known = config.known.is_some() || fresh;
+    let given = Given { known: config.known.is_some() || fresh, inherited: fresh };
     #[cfg(feature = "cluster")]
     let shared = share(peers, &fleet, (config.name.clone(), clock), shutdown);
     #[cfg(not(feature = "cluster"))]
@@ -253,7 +231,7 @@
         #[cfg(not(feature = "cluster"))]
         let _ = shared;
     };
-    spawn_local(become_ready(heard, (known, wait), door.clone(), caught_up, shutdown.clone()));
+    spawn_local(become_ready(heard, given, door.clone(), caught_up, shutdown.clone()));
     spawn_local(end_streams(core.planner.clone(), shutdown.clone()));
     let intake = Intake::new(config.intake, config.body_bytes, counters.clone());
     spawn_local(door.limit(intake.clone(), pool));
--- a/src/node/front/mod.rs
+++ b/src/node/front/mod.rs
@@ -101,14 +101,23 @@
 /// The next connection to take: none while a newer process takes them, and past all limits clients wait in the
 /// system's queue.
 async fn next_client(listener: &TcpListener, intake: &Intake, shutdown: &Shutdown) -> TcpStream {
+    let mut failing = false;
     loop {
         shutdown.once(Readiness::accepts).await;
         tokio::select! {
             biased;
             () = shutdown.once(|now| !now.accepts()) => continue,
             accepted = async { (intake.vacancy().await, listener.accept().await).1 } => match accepted {
-                Ok((socket, _)) => return socket,
-                Err(fault) => tracing::warn!("intake: cannot accept a connection: {fault}"),
+                Ok((socket, _)) => {
+                    if failing {
+                        tracing::info!("intake: connections are accepted again");
+                    }
+                    return socket;
+                }
+                Err(fault) if !std::mem::replace(&mut failing, true) => {
+                    tracing::warn!("intake: cannot accept a connection: {fault}");
+                }
+                Err(_) => {}
             },
         }
         tokio::time::sleep(Duration::from_millis(20)).await;
--- a/src/node/process/config.rs
+++ b/src/node/process/config.rs
@@ -96,8 +96,17 @@
     idle_close: f64,
 }
 
-/// Descriptors for what is not clients or instances: operators, an upgrade, discovery, listeners, log and runtime.
+/// Descriptors for what is not clients or instances: operators, an upgrade, listeners, log and runtime (11), and calls to
+/// discovery open beside one another during an outage (13, see [`crate::node::list::pace`]).
 const OWN_SOCKETS: usize = crate::node::front::operator::SLOTS + 24;
+/// Of a limit too small for that, the part that is not clients' or instances', as one in so many.
+const OWN_PART: usize = 2;
+
+/// Descriptors that the system lets this process have; as many as may be where it does not say.
+fn system_limit() -> usize {
+    let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+    limit.map_or(usize::MAX, |limit| usize::try_from(limit).unwrap_or(usize::MAX))
+}
 
 fn connect_default() -> f64 {
     250.0
@@ -153,8 +162,8 @@
             Some(list)
         });
         // Clients and instances get most of the descriptors; the rest is for clients who are only turned away.
-        let sockets = file.limits.sockets.min(16_384);
-        let sockets = sockets.saturating_sub(OWN_SOCKETS).max(sockets / 2);
+        let sockets = file.limits.sockets.min(16_384).min(system_limit());
+        let sockets = sockets - OWN_SOCKETS.min(sockets / OWN_PART);
         Ok(Platform {
             name: file.name,
             listen: file.listen,
--- a/tests/lists.rs
+++ b/tests/lists.rs
@@ -15,6 +15,9 @@
 use croftsill::node::list::membership::{Membership, Targets};
 use croftsill::node::list::pace::Pace;
 use croftsill::node::planner::Planner;
+use croftsill::node::process::readiness::Readiness;
+use croftsill::node::process::shutdown::Shutdown;
+use croftsill::node::process::start::{Given, become_ready};
 use croftsill::node::request::Caller;
 use croftsill::node::upstream::attempt::{Dialect, First, Payload, Upstream};
 use croftsill::node::upstream::pool::{Gate, Pool, PoolLimits, Site};
@@ -154,7 +157,16 @@
 impl Scene {
     /// So many conductors that follow the stand-in, all of which have heard it.
     async fn open(conductors: usize, asked: bool) -> Self {
-        let (world, seen) = watch::channel(World { version: 1, ..World::default() });
+        let (scene, heard) = Self::start(conductors, asked, World { version: 1, ..World::default() }).await;
+        for mut told in heard {
+            told.wait_for(|told| *told).await.expect("a list");
+        }
+        scene
+    }
+
+    /// So many conductors that begin together, and whether each has heard the stand-in.
+    async fn start(conductors: usize, asked: bool, world: World) -> (Self, Vec<watch::Receiver<bool>>) {
+        let (world, seen) = watch::channel(world);
         let calls = Calls::default();
         let (mut fleets, mut heard) = (Vec::new(), Vec::new());
         // The system's queue of a listener holds fewer than all.
@@ -174,10 +186,7 @@
                 heard.push(told);
             }
         }
-        for mut told in heard {
-            told.wait_for(|told| *told).await.expect("a list");
-        }
-        Scene { world, calls, fleets }
+        (Scene { world, calls, fleets }, heard)
     }
 
     fn now(&self, change: impl FnOnce(&mut World)) -> Instant {
@@ -274,7 +283,11 @@
 }
 
 fn at_each_size<F: AsyncFn(usize)>(play: F) {
-    for conductors in SIZES {
+    at_sizes(&SIZES, play);
+}
+
+fn at_sizes<F: AsyncFn(usize)>(sizes: &[usize], play: F) {
+    for &conductors in sizes {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
         LocalSet::new().block_on(&runtime.expect("a runtime"), play(conductors));
     }
@@ -407,6 +420,47 @@
     played.expect("a change is heard in time");
 }
 
+/// All begin together with an old list: each is ready within ten seconds, whatever becomes of its calls, and none sends to what
+/// drains once that counts as told.
+#[test]
+fn processes_that_start_together_are_ready_in_time_and_not_by_a_list_that_breaks_a_drain() {
+    at_sizes(&[2, 300], async |conductors| {
+        // Of many only those whose calls are the most.
+        let kinds = IN_VAIN.into_iter().chain([Fate::Served]).enumerate();
+        let most = [Fate::Refused, Fate::Silent, Fate::Served];
+        for (n, fate) in kinds.filter(|(_, fate)| conductors < 300 || most.contains(fate)) {
+            for asked in [false, true] {
+                let (begun, outage) = (Instant::now(), Duration::from_millis(1_500 * n as u64));
+                let world = World { version: 2, draining: true, fate, ..World::default() };
+                let (scene, heard) = Scene::start(conductors, asked, world).await;
+                let ready: Vec<_> = heard
+                    .into_iter()
+                    .map(|told| {
+                        let shutdown = Shutdown::default();
+                        let given = Given { known: true, inherited: false };
+                        let caught_up = std::future::ready(());
+                        spawn_local(become_ready(told, given, Door::open(), caught_up, shutdown.clone()));
+                        shutdown
+                    })
+                    .collect();
+                sleep(outage).await;
+                let back = scene.now(|w| w.fate = Fate::Served);
+                for shutdown in &ready {
+                    shutdown.once(Readiness::healthy).await;
+                }
+                let took = begun.elapsed();
+                assert!(took < Duration::from_secs(10), "{conductors}, {fate:?}, asked {asked}: {took:?}");
+                // What an agent has counts as told from a new process's first moment.
+                let binds = if asked { TOLD_AFTER } else { GRACE };
+                if !asked && fate == Fate::Served {
+                    assert_eq!(scene.sending(), 0, "ready before the agent's list was in");
+                }
+                scene.drained(back, binds).await;
+            }
+        }
+    });
+}
+
 /// What may come between the decision and the first byte, for a first attempt, a second stage and a probe alike: the instance
 /// drains, or is gone.
 #[test]
--- a/tests/player/mod.rs
+++ b/tests/player/mod.rs
@@ -187,7 +187,20 @@
     pub fn start(base: &str, words: &[&str], vars: &[(&str, &Path)]) -> Self {
         let dir = std::env::temp_dir().join(format!("croftsill-{base}"));
         let mut command = Command::new(env!("CARGO_BIN_EXE_croftsill"));
-        command.args(words).env_remove("LB_CONFIG").envs(vars.iter().copied()).stderr(Stdio::piped());
+        command.args(words);
+        Self::run(command, base, dir, vars)
+    }
+
+    /// Starts the program with a system limit on its descriptors.
+    pub fn limited(base: &str, files: u32, vars: &[(&str, &Path)]) -> Self {
+        let mut command = Command::new("/bin/sh");
+        let exec = format!("ulimit -n {files} && exec {}", env!("CARGO_BIN_EXE_croftsill"));
+        command.args(["-c", &exec]);
+        Self::run(command, base, std::env::temp_dir().join(format!("croftsill-{base}")), vars)
+    }
+
+    fn run(mut command: Command, base: &str, dir: PathBuf, vars: &[(&str, &Path)]) -> Self {
+        command.env_remove("LB_CONFIG").envs(vars.iter().copied()).stderr(Stdio::piped());
         let mut child = command.spawn().expect("the program starts");
         let (sender, log) = channel();
         let lines = BufReader::new(child.stderr.take().expect("its log")).lines();
@@ -209,6 +222,13 @@
         }
     }
 
+    /// Changes the system's limit on its descriptors, within what it was started with; those in use outlive that.
+    pub fn files(&self, now: u32, most: u32) {
+        let pid = rustix::process::Pid::from_child(&self.child);
+        let limit = rustix::process::Rlimit { current: Some(now.into()), maximum: Some(most.into()) };
+        rustix::process::prlimit(Some(pid), rustix::process::Resource::Nofile, limit).expect("a limit");
+    }
+
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
         let killed = Command::new("kill").args([&format!("-{name}"), &pid]).status().expect("kill runs");
