--- /dev/null
+++ b/src/node/front/intake/tests.rs
@@ -0,0 +1,72 @@
+use super::*;
+
+/// A connection at this stage, begun and last heard so many milliseconds ago.
+fn line(intake: &Rc<Intake>, stage: Stage, begun: u64, heard: u64) -> Place {
+    let place = intake.enter();
+    let ago = |ms| Instant::now().checked_sub(Duration::from_millis(ms)).expect("a clock that runs");
+    place.line.stage.set(stage);
+    place.line.since.set(ago(begun));
+    place.line.heard.set(ago(heard));
+    if stage == Stage::Arriving {
+        place.line.stage.set(Stage::Open);
+        place.line.body.set(10);
+    }
+    place
+}
+
+/// Which of them makes room.
+fn goes(places: &[&Place], intake: &Intake) -> Option<usize> {
+    let before: Vec<_> = places.iter().map(|p| (p.line.stage(), p.line.since.get())).collect();
+    intake.make_room();
+    let after = places.iter().map(|p| (p.line.stage(), p.line.since.get()));
+    before.into_iter().zip(after).position(|(before, after)| before != after)
+}
+
+fn intake() -> Rc<Intake> {
+    Intake::new(100, 1_000, Rc::default())
+}
+
+#[test]
+fn what_still_sends_its_request_is_not_evicted_for_one_that_brings_nothing() {
+    let intake = intake();
+    let slow = line(&intake, Stage::Begun, 1_900, 300);
+    let body = line(&intake, Stage::Arriving, 2_000, 900);
+    assert_eq!(goes(&[&slow, &body], &intake), None);
+    let stuck = line(&intake, Stage::Begun, 1_200, 1_100);
+    assert_eq!(goes(&[&slow, &body, &stuck], &intake), Some(2));
+    assert_eq!(intake.counters.evicted_begun.get(), 1);
+    let idle = line(&intake, Stage::Idle, 0, 0);
+    assert_eq!(goes(&[&slow, &body, &idle], &intake), Some(2));
+    assert_eq!(intake.counters.evicted.get(), 1);
+}
+
+#[test]
+fn a_body_that_stops_halfway_makes_room_and_an_open_request_never_does() {
+    let intake = intake();
+    let open = line(&intake, Stage::Open, 60_000, 60_000);
+    let body = line(&intake, Stage::Arriving, 1_500, 1_500);
+    assert_eq!(goes(&[&open, &body], &intake), Some(1));
+    assert_eq!(goes(&[&open, &body], &intake), None);
+}
+
+#[test]
+fn only_open_requests_make_it_full() {
+    let intake = intake();
+    let _idle = [(); 2].map(|()| line(&intake, Stage::Idle, 0, 0));
+    let open = [(); 3].map(|()| line(&intake, Stage::Open, 0, 0));
+    intake.most.set(2);
+    assert!(intake.full());
+    open[0].line.turn(Stage::Idle);
+    assert!(intake.crowded() && !intake.full());
+}
+
+#[test]
+fn two_processes_together_keep_under_one_limit() {
+    for most in [8, 44, 167, 474] {
+        let intake = Intake::new(most, 1_000, Rc::default());
+        intake.share(true);
+        assert!(2 * (intake.most.get() + intake.spare()) <= most + 2, "{most}");
+        intake.share(false);
+        assert_eq!(intake.most.get(), most);
+    }
+}
