Learn what reading costs by tokens where readers tell of others, and pace the low tier by readers

Tokens take 45 us to read; the mean of took / tokens over requests was several times that, as short reads that stand in a queue weigh as much as long ones (attempts.rs, read_took); times 1.5 no home passed the test. What dropped to the low tier went there once in 1.5 to 24 s for each of 300 routers (admission.rs, low_went).

Change: where a reader tells of the others a read counts by its tokens, and its expected time is taken at 0.8; elsewhere nothing changes. The low tier's gap, made for up to ten readers, shrinks with more of them. The arithmetic of reads moved to estimate.

--- a/src/estimate.rs
+++ b/src/estimate.rs
@@ -24,6 +24,11 @@
 /// Microseconds from a send to a writer to the first token, until some have been seen.
 const FIRST_TOOK: f64 = 100_000.0;
 
+/// Tokens added to each read for what does not depend on its length.
+pub const READ_EXTRA: f64 = 300.0;
+/// Most that one read weighs, in usual ones.
+const WEIGHT_MOST: f64 = 3.0;
+
 /// Sends to a cold host that are not worth remembering any more.
 const LEAST: f64 = 0.01;
 
@@ -50,7 +55,13 @@
 
     /// A mean over all hosts follows as quickly where a router seldom hears of any as where it often does.
     pub fn follow(&mut self, now: Micros, sample: f64) {
+        self.follow_by(now, sample, 1.0);
+    }
+
+    /// The same for a sample that weighs as much as so many.
+    pub fn follow_by(&mut self, now: Micros, sample: f64, weight: f64) {
         let gain = (1.0 - 0.5f64.powf((now - self.at) as f64 / FLEET_FADE)).max(FLEET_GAIN);
+        let gain = 1.0 - (1.0 - gain).powf(weight);
         *self = Fading { value: self.value + gain * (sample - self.value), at: now };
     }
 
@@ -280,6 +291,20 @@
         }
     }
 
+    /// A read of so many `unread` tokens took this long behind others, `load` tokens in all. Where the reader `told` of others
+    /// a read counts by its tokens: of short ones that stood in a queue, the time says little of what a token costs. `cost` is
+    /// the host's own, which turns to a usual sample with this gain.
+    pub fn read(
+        &mut self, now: Micros, cost: &mut Fading, (unread, load, took, gain): (f64, f64, Micros, f64),
+        told: bool,
+    ) {
+        self.unread.follow(now, unread);
+        let usual = self.unread.value + READ_EXTRA;
+        let (each, weight) = (took as f64 / load, if told { (load / usual).min(WEIGHT_MOST) } else { 1.0 });
+        cost.learn(now, self.read_cost.value, each, (gain * weight).min(0.75));
+        self.read_cost.follow_by(now, each, weight);
+    }
+
     /// A request of so many tokens is taken in.
     pub fn arrived(&mut self, now: Micros, ask: &NewRequest, tokens: f64) {
         self.spent.take_in(now, ask.tenant.map(|t| t.0), tokens);
--- a/src/logic/admission.rs
+++ b/src/logic/admission.rs
@@ -7,8 +7,8 @@
 const PACE_BOUND: f64 = 0.9; // share of the wanted pace in use: lengths are guesses and the curve lags
 const MEMORY_BOUND: f64 = 0.9; // share of a writer's memory: past it the newest answer is read anew
 const LENGTH_GUESS: f64 = 0.3; // share of the most tokens taken as the answer's length without a hint
-const LOW_GAP_LEAST: f64 = 5_000.0; // between the fleet's sends of the low tier, while they come in time...
-const LOW_GAP_MOST: f64 = 80_000.0; // ...and while they come late
+const LOW_GAP: (f64, f64) = (5_000.0, 80_000.0); // between a fleet's sends of the low tier: in time, and late,
+const LOW_READERS: f64 = 10.0; // where it has up to so many readers; more take more
 
 impl Router {
     pub(super) fn arrive(&mut self, now: Micros, ask: &NewRequest, out: &mut Vec<Action>) {
@@ -120,8 +120,11 @@
 
     /// The low tier's sends are four times as far apart after one that came late, and half after one in time.
     pub(super) fn low_went(&mut self, well: bool) {
-        let gap = self.all.low_gap / f64::from(self.set.routers.max(1)) * if well { 0.5 } else { 4.0 };
-        self.all.low_gap = gap.clamp(LOW_GAP_LEAST, LOW_GAP_MOST) * f64::from(self.set.routers.max(1));
+        let readers =
+            self.hosts.values().filter(|h| h.role == Role::Read && h.phase == Phase::Serving).count();
+        let each = f64::from(self.set.routers.max(1)) * (LOW_READERS / readers as f64).min(1.0);
+        let gap = self.all.low_gap * if well { 0.5 } else { 4.0 };
+        self.all.low_gap = gap.clamp(LOW_GAP.0 * each, LOW_GAP.1 * each);
     }
 
     /// Admits a request: the writer counts it from now on, and its prompt is read.
--- a/src/logic/attempts.rs
+++ b/src/logic/attempts.rs
@@ -160,10 +160,8 @@
     /// A read took this long, or longer, for all the own tokens up to it: others' reads show in the cost.
     pub(super) fn read_took(&mut self, now: Micros, id: RequestId, at: HostId, unread: f64, took: Micros) {
         let (Some(r), Some(host)) = (self.requests.get(&id), self.hosts.get_mut(&at)) else { return };
-        self.all.unread.follow(now, unread);
-        let cost = took as f64 / (r.read_load - r.unread + unread).max(READ_EXTRA);
-        host.read_cost.learn(now, self.all.read_cost.value, cost, HOST_GAIN);
-        self.all.read_cost.follow(now, cost);
+        let load = (r.read_load - r.unread + unread).max(READ_EXTRA);
+        self.all.read(now, &mut host.read_cost, (unread, load, took, HOST_GAIN), host.crowd.is_some());
     }
 
     pub(super) fn was_read(&mut self, now: Micros, id: RequestId, at: HostId, kept: f64, took: Micros) {
--- a/src/logic/mod.rs
+++ b/src/logic/mod.rs
@@ -1,13 +1,12 @@
 //! Every decision of the router. The interface (settings, events, actions) is `src/api.rs`.
 //!
-//! The mechanism, after SABER's online phase. A request arrives into the high tier, kept by the time at which
-//! its first token is wanted. At each event, and each tick while any is held, one of the first few is drawn
-//! at random and tested: would the writer's speed curve at L+1 streams still keep its token pace and that of
-//! every stream there, has the writer memory for it, and can its first token come in time? If so the prompt
-//! goes to its reader, by hash of its beginning; else it waits unread. What cannot start in time drops to the
-//! low tier, sent untested while the high tier is empty and given up on, at once, when the client's deadline
-//! is out of reach. After the read the test is made again. The curve is fitted online for each kind of host;
-//! L counts all streams: the own, and others' by the memory that reports show held.
+//! The mechanism, after SABER's online phase. A request arrives into the high tier, kept by the time at which its first
+//! token is wanted. At each event, and each tick while any is held, one of the first few is drawn at random and tested:
+//! would the writer's speed curve at L+1 streams still keep its token pace and that of every stream there, has the
+//! writer memory for it, and can its first token come in time? If so the prompt goes to its reader, by hash of its
+//! beginning; else it waits unread. What cannot start in time drops to the low tier, sent untested while the high tier
+//! is empty and given up on, at once, when the client's deadline is out of reach. After the read the test is made
+//! again. The curve is fitted online for each kind; L counts all streams, others' by the memory that reports show.
 
 mod admission;
 mod attempts;
@@ -20,11 +19,10 @@
 use std::rc::Rc;
 
 use crate::api::*;
-use crate::estimate::{FADE, FLEET_GAIN, Fading, Learnt, Spending, chance, weighted};
+use crate::estimate::{FADE, FLEET_GAIN, Fading, Learnt, READ_EXTRA, Spending, chance, weighted};
 
 // Times are in microseconds.
 const TICK: Micros = 5_000; // between looks at what is held: short against every aim
-const READ_EXTRA: f64 = 300.0; // tokens added to each read for what does not depend on its length
 const FEW_ROUTERS: u32 = 8; // up to which all writers are probed in turn; more ask hosts for each request
 const ASKED: usize = 3; // hosts asked for each step of a request...
 const ASK_WAIT: Micros = 25_000; // ...and the longest wait for their answers: some connections' making
--- a/src/logic/pairing.rs
+++ b/src/logic/pairing.rs
@@ -9,7 +9,7 @@
 const STAY_LEAST: f64 = 0.5; // part of the reading that a reader without writers near gets, at least
 const SPARE_LEAST: f64 = 0.05; // weight of a writer whose cell has none to spare, against an idle one
 const FAR_WEIGHT: f64 = 0.25; // chance of a writer in another zone against one in the same: a crossing costs
-const READ_MARGIN: f64 = 1.5; // of a read's expected time: others queue too, and the mean lags behind a jam
+const READ_MARGIN: (f64, f64) = (1.5, 0.8); // of a read's expected time: others queue too; where the reader told of them
 const READY_WAIT: f64 = 0.4; // share of the pin limit after which a state goes to a writer untested...
 const READY_MOST: f64 = 0.8; // ...and after which it is let go
 
@@ -31,15 +31,16 @@
         if homes.iter().take(ASKED).any(|h| h.asked && now < h.probed_at + ASK_WAIT) {
             return None;
         }
+        let margin = |h: &Host| if h.crowd.is_some() { READ_MARGIN.1 } else { READ_MARGIN.0 };
         let paired = homes.iter().find_map(|at| {
-            let ready_in = self.read_time(now, at, r) * READ_MARGIN;
+            let ready_in = self.read_time(now, at, r) * margin(at);
             let pick =
                 |far| self.choose_writer(now, r, Some(at), ready_in, tested, |h| far != (h.cell == at.cell));
             let spills = chance(at.id.0, r.ask.id.0) > at.stay;
             Some((Some(at.id), pick(spills).or_else(|| pick(!spills))?))
         });
         // Exception: where no reader passes, a mixed host that passes reads by itself, last as it slows it.
-        let in_time = |h: &Host| self.read_time(now, h, r) * READ_MARGIN <= (r.aim_at - now) as f64;
+        let in_time = |h: &Host| self.read_time(now, h, r) * margin(h) <= (r.aim_at - now) as f64;
         let reads = |h: &Host| h.role == Role::Both || self.set.limits.writers_read;
         let fits = |h: &Host| reads(h) && (!tested || in_time(h));
         paired.or_else(|| Some((None, self.choose_writer(now, r, None, 0.0, tested, fits)?)))
