--- a/src/logic/admission.rs
+++ b/src/logic/admission.rs
@@ -7,7 +7,7 @@
 const PACE_BOUND: f64 = 0.9; // share of the wanted pace in use: lengths are guesses and the curve lags
 const MEMORY_BOUND: f64 = 0.9; // share of a writer's memory: past it the newest answer is read anew
 const LENGTH_GUESS: f64 = 0.3; // share of the most tokens taken as the answer's length without a hint
-const LOW_GAP: (f64, f64) = (5_000.0, 80_000.0); // between a fleet's sends of the low tier: in time, and late,
+const LOW_GAP: (f64, f64) = (5_000.0, 80_000.0); // between a fleet's sends of the low tier: in time; late,
 const LOW_READERS: f64 = 10.0; // where it has up to so many readers; more take more
 
 impl Router {
--- a/src/logic/mod.rs
+++ b/src/logic/mod.rs
@@ -1,12 +1,13 @@
 //! Every decision of the router. The interface (settings, events, actions) is `src/api.rs`.
 //!
-//! The mechanism, after SABER's online phase. A request arrives into the high tier, kept by the time at which its first
-//! token is wanted. At each event, and each tick while any is held, one of the first few is drawn at random and tested:
-//! would the writer's speed curve at L+1 streams still keep its token pace and that of every stream there, has the
-//! writer memory for it, and can its first token come in time? If so the prompt goes to its reader, by hash of its
-//! beginning; else it waits unread. What cannot start in time drops to the low tier, sent untested while the high tier
-//! is empty and given up on, at once, when the client's deadline is out of reach. After the read the test is made
-//! again. The curve is fitted online for each kind; L counts all streams, others' by the memory that reports show.
+//! The mechanism, after SABER's online phase. A request arrives into the high tier, kept by the time at which
+//! its first token is wanted. At each event, and each tick while any is held, one of the first few is drawn
+//! at random and tested: would the writer's speed curve at L+1 streams still keep its token pace and that of
+//! every stream there, has the writer memory for it, and can its first token come in time? If so the prompt
+//! goes to its reader, by hash of its beginning; else it waits unread. What cannot start in time drops to the
+//! low tier, sent untested while the high tier is empty and given up on, at once, when the client's deadline
+//! is out of reach. After the read the test is made again. L counts all streams, others' by the memory that
+//! reports show.
 
 mod admission;
 mod attempts;
--- a/src/logic/pairing.rs
+++ b/src/logic/pairing.rs
@@ -4,12 +4,12 @@
 
 const CHOICE: f64 = 4.0; // power of a writer's room in its chance to be chosen: most room mostly, but no herd
 const READERS_A_HOME: usize = 8; // readers for each home that a beginning has: it could outgrow one
-const POPULAR: f64 = 0.75; // of a fair part for cold homes of a popular beginning: few requests tell of it late
+const POPULAR: f64 = 0.75; // of a fair part, to cold homes of popular beginnings: few requests tell late
 const CELL_SLACK: f64 = 1.15; // of a cell's part of the states that its writers take before others share them
 const STAY_LEAST: f64 = 0.5; // part of the reading that a reader without writers near gets, at least
 const SPARE_LEAST: f64 = 0.05; // weight of a writer whose cell has none to spare, against an idle one
 const FAR_WEIGHT: f64 = 0.25; // chance of a writer in another zone against one in the same: a crossing costs
-const READ_MARGIN: (f64, f64) = (1.5, 0.8); // of a read's expected time: others queue too; where the reader told of them
+const READ_MARGIN: (f64, f64) = (1.5, 0.8); // of a read's expected time, alone and where it told of others
 const READY_WAIT: f64 = 0.4; // share of the pin limit after which a state goes to a writer untested...
 const READY_MOST: f64 = 0.8; // ...and after which it is let go
 
@@ -41,9 +41,9 @@
         });
         // Exception: where no reader passes, a mixed host that passes reads by itself, last as it slows it.
         let in_time = |h: &Host| self.read_time(now, h, r) * margin(h) <= (r.aim_at - now) as f64;
-        let reads = |h: &Host| h.role == Role::Both || self.set.limits.writers_read;
-        let fits = |h: &Host| reads(h) && (!tested || in_time(h));
-        paired.or_else(|| Some((None, self.choose_writer(now, r, None, 0.0, tested, fits)?)))
+        let may =
+            |h: &Host| (h.role == Role::Both || self.set.limits.writers_read) && (!tested || in_time(h));
+        paired.or_else(|| Some((None, self.choose_writer(now, r, None, 0.0, tested, may)?)))
     }
 
     /// Rendezvous hashing of the shared beginning (else the session) over the readers, alike at every router.
