--- a/src/logic/admission.rs
+++ b/src/logic/admission.rs
@@ -120,9 +120,7 @@
 
     /// The low tier's sends are four times as far apart after one that came late, and half after one in time.
     pub(super) fn low_went(&mut self, well: bool) {
-        let readers =
-            self.hosts.values().filter(|h| h.role == Role::Read && h.phase == Phase::Serving).count();
-        let each = f64::from(self.set.routers.max(1)) * (LOW_READERS / readers as f64).min(1.0);
+        let each = f64::from(self.set.routers.max(1)) * (LOW_READERS / self.serving(true)).min(1.0);
         let gap = self.all.low_gap * if well { 0.5 } else { 4.0 };
         self.all.low_gap = gap.clamp(LOW_GAP.0 * each, LOW_GAP.1 * each);
     }
--- a/src/logic/cold.rs
+++ b/src/logic/cold.rs
@@ -26,7 +26,8 @@
     pub(super) fn overbooked(&self, now: Micros, host: &Host, r: &Request) -> bool {
         let (warmth, Some(others)) = (host.warmth(now, &self.set.rules), &self.others) else { return false };
         let theirs = if host.role == Role::Read { others.reads } else { others.writes };
-        let each = (self.own_sends(host).get(now, 0.0) + theirs.get(now, 0.0)) / self.alike(host);
+        let each = (self.own_sends(host).get(now, 0.0) + theirs.get(now, 0.0))
+            / self.serving(host.role == Role::Read);
         let there = self.spent_by_all(|s| s.sent_cold(now, host.id.0));
         warmth < 1.0 && there + 1.0 > (each * self.cold_budget(warmth, &r.by)).max(1.0)
     }
@@ -46,17 +47,16 @@
         if host.role == Role::Read { self.all.reads } else { self.all.writes }
     }
 
-    /// Hosts in service that do the same.
-    fn alike(&self, host: &Host) -> f64 {
-        let same =
-            |h: &&Host| (h.role == Role::Read) == (host.role == Role::Read) && h.phase == Phase::Serving;
+    /// Readers in service, or writers and mixed hosts.
+    pub(super) fn serving(&self, readers: bool) -> f64 {
+        let same = |h: &&Host| (h.role == Role::Read) == readers && h.phase == Phase::Serving;
         self.hosts.values().filter(same).count().max(1) as f64
     }
 
     /// Rule 4: least time between own sends to a starting host, by what a host of that role takes now.
     pub(super) fn cold_gap(&self, now: Micros, to: HostId) -> Micros {
         let Some(host) = self.hosts.get(&to) else { return 0 };
-        let each = self.own_sends(host).get(now, 0.0) / FADE / self.alike(host);
+        let each = self.own_sends(host).get(now, 0.0) / FADE / self.serving(host.role == Role::Read);
         let budget = each * self.cold_budget(host.warmth(now, &self.set.rules), &self.set);
         (1.0 / budget.max(1e-9)).min(COLD_GAP * self.set.rules.overload_for as f64) as Micros
     }
