--- a/tests/lists.rs
+++ b/tests/lists.rs
@@ -252,6 +252,15 @@
     (fleet, heard)
 }
 
+fn payload() -> Payload {
+    Payload {
+        id: "0a".into(),
+        target: "/v1/chat/completions".parse().expect("a path"),
+        content_type: None,
+        body: Bytes::from_static(b"{}"),
+    }
+}
+
 /// An instance that counts the requests that begin there and answers none.
 async fn mute() -> (SocketAddr, Rc<Cell<u32>>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("an address");
@@ -472,12 +481,7 @@
             let (core, _) = core(&settings, 1, 1);
             let (upstream, host) = (core.upstream, HostId(1));
             let site = |ready| Some(Site { addr, role, ready });
-            let payload = Payload {
-                id: "0a".into(),
-                target: "/v1/chat/completions".parse().expect("a path"),
-                content_type: None,
-                body: Bytes::from_static(b"{}"),
-            };
+            let payload = payload();
             let send = || {
                 let (upstream, payload) = (upstream.clone(), payload.clone());
                 let until = Instant::now() + Duration::from_secs(3);
@@ -523,12 +527,7 @@
             let (core, _) = core(&settings, 1, 1);
             let (upstream, host) = (core.upstream, HostId(1));
             upstream.pool().place(host, Some(Site { addr, role, ready: true }));
-            let payload = Payload {
-                id: "0a".into(),
-                target: "/v1/chat/completions".parse().expect("a path"),
-                content_type: None,
-                body: Bytes::from_static(b"{}"),
-            };
+            let payload = payload();
             let send = || {
                 let (caller, answer) = Caller::new(payload.id.clone());
                 let (upstream, payload) = (upstream.clone(), payload.clone());
