--- a/src/estimate.rs
+++ b/src/estimate.rs
@@ -28,6 +28,8 @@
 pub const READ_EXTRA: f64 = 300.0;
 /// Most that one read weighs, in usual ones.
 const WEIGHT_MOST: f64 = 3.0;
+/// Most weight of one read in a host's own mean, which keeps some of what came before.
+const GAIN_MOST: f64 = 0.75;
 
 /// Sends to a cold host that are not worth remembering any more.
 const LEAST: f64 = 0.01;
@@ -301,7 +303,7 @@
         self.unread.follow(now, unread);
         let usual = self.unread.value + READ_EXTRA;
         let (each, weight) = (took as f64 / load, if told { (load / usual).min(WEIGHT_MOST) } else { 1.0 });
-        cost.learn(now, self.read_cost.value, each, (gain * weight).min(0.75));
+        cost.learn(now, self.read_cost.value, each, (gain * weight).min(GAIN_MOST));
         self.read_cost.follow_by(now, each, weight);
     }
 
--- a/src/logic/pairing.rs
+++ b/src/logic/pairing.rs
@@ -41,9 +41,9 @@
         });
         // Exception: where no reader passes, a mixed host that passes reads by itself, last as it slows it.
         let in_time = |h: &Host| self.read_time(now, h, r) * margin(h) <= (r.aim_at - now) as f64;
-        let may =
-            |h: &Host| (h.role == Role::Both || self.set.limits.writers_read) && (!tested || in_time(h));
-        paired.or_else(|| Some((None, self.choose_writer(now, r, None, 0.0, tested, may)?)))
+        let reads = |h: &Host| h.role == Role::Both || self.set.limits.writers_read;
+        let fits = |h: &Host| reads(h) && (!tested || in_time(h));
+        paired.or_else(|| Some((None, self.choose_writer(now, r, None, 0.0, tested, fits)?)))
     }
 
     /// Rendezvous hashing of the shared beginning (else the session) over the readers, alike at every router.
--- a/src/node/list/discovery.rs
+++ b/src/node/list/discovery.rs
@@ -166,10 +166,12 @@
         if cause == Cause::Refused {
             self.calls = JoinSet::new();
         }
-        self.ask_after(cause, self.asked);
-        // Another one may be due sooner in any case.
-        self.next = self.next.min(due.or(self.next));
-        let wait = self.next.map_or(Duration::ZERO, |at| at.saturating_duration_since(Instant::now()));
+        let mut wait = self.ask_after(cause, self.asked);
+        if let Some(due) = due {
+            // Another one may be due sooner in any case.
+            wait = wait.min(due.saturating_duration_since(Instant::now()));
+            self.next = self.next.min(Some(due));
+        }
         self.lost(fault, wait);
     }
 
