Correct figures that were not measured, and tighten the test of the cost of reading

The test's comment said ten times; it is twice, and its bounds are narrower now (it fails without the change: 96 against 67).

--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -531,7 +531,7 @@
 }
 
 /// What a token costs to read is learnt from long reads rather than from short ones that stood in a queue nobody told of, where
-/// readers tell of others: by requests alone it would come out at about ten times the truth here.
+/// readers tell of others: by requests alone it comes out at 96 here, twice the truth.
 #[test]
 fn the_cost_of_reading_is_recovered_under_queues_where_readers_tell_of_others() {
     let (truth, mut draw) = (45.0, 5u64);
@@ -556,10 +556,10 @@
         sum += if n >= 3_000 { learnt.read_cost.value / 1_000.0 } else { 0.0 };
         if n == 1_999 {
             let found = learnt.read_cost.value;
-            assert!((0.8 * truth..2.0 * truth).contains(&found), "{found}");
+            assert!((0.8 * truth..1.5 * truth).contains(&found), "{found}");
         }
     }
-    assert!((1.6 * truth..4.0 * truth).contains(&sum), "after a change of speed: {sum}");
+    assert!((1.6 * truth..3.0 * truth).contains(&sum), "after a change of speed: {sum}");
 }
 
 /// The low tier of a fleet with many readers goes as much oftener, so that each router's sends do not lie further apart than
