--- a/src/control/desk.rs
+++ b/src/control/desk.rs
@@ -1,7 +1,7 @@
 //! Where links, ledger and the deciding parts of a policy change come together. It has a thread of its own: flushing to
 //! disk must not hold up a request.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -12,7 +12,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::MissedTickBehavior;
+use tokio::time::{MissedTickBehavior, timeout};
 
 use super::coordinator::Coordinator;
 use super::gate::Gate;
@@ -77,6 +77,8 @@
     Status,
     /// A new policy.
     Propose {
+        /// The change's number.
+        id: ChangeId,
         /// The document.
         document: String,
         /// The revision that it was made for.
@@ -100,6 +102,13 @@
     Import(Value),
 }
 
+impl Call {
+    /// A proposal under a number of its own.
+    pub fn proposal(document: String, base: Option<Revision>) -> Self {
+        Call::Propose { id: ChangeId(rand::rng().random()), document, base }
+    }
+}
+
 /// What the serving side tells of itself.
 #[derive(Debug)]
 pub enum Told {
@@ -145,6 +154,14 @@
         answered.await.ok()
     }
 
+    /// Asks, and waits so long. One who proposed and is not answered in time learns by which number to ask again: a flush that
+    /// the disk holds up holds up the ledger's thread, and the change may pass all the same. Else there is no answer.
+    pub async fn ask(&self, call: Call, within: Duration) -> Option<Reply> {
+        let proposed = if let Call::Propose { id, .. } = &call { Some(*id) } else { None };
+        let answered = timeout(within, self.call(call)).await;
+        answered.unwrap_or_else(|_| proposed.map(|id| unknown(id, "the ledger gives no answer yet")))
+    }
+
     /// Tells; dropped where the ledger's thread is too slow to hear it.
     pub fn tell(&self, told: Told) {
         let _ = self.told.try_send(told);
@@ -229,6 +246,7 @@
                 reported_at: Micros::MIN / 2,
                 asked: Vec::new(),
                 waiting: Vec::new(),
+                not_proposed: VecDeque::new(),
                 share,
                 shelf,
                 share_news,
@@ -278,6 +296,8 @@
     /// Entries asked for lately.
     asked: Vec<(Command, Micros)>,
     waiting: Vec<Waiting>,
+    /// The last proposals that were turned down before they came to the ledger, with what was said.
+    not_proposed: VecDeque<(ChangeId, Reply)>,
     share: Share,
     shelf: Shelf,
     share_news: mpsc::UnboundedSender<share::News>,
@@ -774,13 +794,15 @@
                 }
             }
             Call::Outcome(id) => self.outcome(id),
-            Call::Propose { document, base } => match self.proposal(document, base) {
-                Ok(_) if self.waiting.len() >= CALLS_MOST => no(503, "too many changes are waited for"),
-                Ok((command, id)) => {
+            Call::Propose { id, document, base } => match self.proposal(id, document, base) {
+                Ok(_) if self.waiting.len() >= CALLS_MOST => {
+                    self.not_proposed(id, no(503, "too many changes are waited for"))
+                }
+                Ok(command) => {
                     let until = now.saturating_add(CALL_WAIT);
                     return self.waiting.push(Waiting { command, id, until, answer: Some(answer) });
                 }
-                Err(reply) => reply,
+                Err(reply) => self.not_proposed(id, reply),
             },
             Call::Remove(name) => self.remove(now, name),
             Call::Mark(subject) => {
@@ -809,7 +831,17 @@
         let _ = answer.send(reply);
     }
 
-    fn proposal(&self, document: String, base: Option<Revision>) -> Result<(Command, ChangeId), Reply> {
+    /// Remembers for a while that a change never came to the ledger, for a caller that went before it was told.
+    fn not_proposed(&mut self, id: ChangeId, mut reply: Reply) -> Reply {
+        reply.body["id"] = id.to_string().into();
+        if self.not_proposed.len() >= CALLS_MOST {
+            self.not_proposed.pop_front();
+        }
+        self.not_proposed.push_back((id, reply.clone()));
+        reply
+    }
+
+    fn proposal(&self, id: ChangeId, document: String, base: Option<Revision>) -> Result<Command, Reply> {
         let Some(agreed) = agreed(&self.ledger, &self.observed) else {
             return Err(no(503, self.stopped.as_deref().unwrap_or("the ledger has stopped")));
         };
@@ -819,9 +851,8 @@
         };
         let silence = under(&self.setup, agreed.revision + 1, &document).map_err(turned_down)?;
         let silence = silence.policy.map(|policy| policy.silence).unwrap_or_default();
-        let id = ChangeId(rand::rng().random());
         let by = self.me().to_owned();
-        Ok((Command::Propose { id, base, by, document, silence }, id))
+        Ok(Command::Propose { id, base, by, document, silence })
     }
 
     fn remove(&mut self, now: Micros, name: String) -> Reply {
@@ -840,12 +871,11 @@
     }
 
     fn outcome(&self, id: ChangeId) -> Reply {
-        let unknown = |phase: &str| {
-            let body = json!({ "outcome": "unknown", "id": id.to_string(), "phase": phase, "see": path(id) });
-            Reply { status: 202, body }
-        };
+        if let Some((_, reply)) = self.not_proposed.iter().find(|(of, _)| *of == id) {
+            return reply.clone();
+        }
         let Some(agreed) = agreed(&self.ledger, &self.observed) else {
-            return unknown("the ledger has stopped here");
+            return unknown(id, "the ledger has stopped here");
         };
         match (agreed.ended(id), &agreed.change) {
             (Some(ended), _) => {
@@ -854,8 +884,8 @@
                 body["id"] = id.to_string().into();
                 Reply { status: if applied { 200 } else { 409 }, body }
             }
-            (None, Some(change)) if change.id == id => unknown(phase(change.phase)),
-            _ => unknown("not seen in the ledger"),
+            (None, Some(change)) if change.id == id => unknown(id, phase(change.phase)),
+            _ => unknown(id, "not seen in the ledger"),
         }
     }
 
@@ -959,10 +989,18 @@
     }
 }
 
-fn path(id: ChangeId) -> String {
-    format!("/policy/changes/{id}")
+/// What is said of a change whose end is not known, and where to ask for it.
+fn unknown(id: ChangeId, phase: &str) -> Reply {
+    let see = format!("/policy/changes/{id}");
+    Reply {
+        status: 202,
+        body: json!({ "outcome": "unknown", "id": id.to_string(), "phase": phase, "see": see }),
+    }
 }
 
 fn no(status: u16, why: &str) -> Reply {
     Reply { status, body: json!({ "error": why }) }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/node/front/operator.rs
+++ b/src/node/front/operator.rs
@@ -147,7 +147,7 @@
                 let body = Limited::new(request.into_body(), DOCUMENT_MOST).collect();
                 let body = timeout(BODY_TIME, body).await.map_err(|_| No::Body)?.map_err(|_| No::Body)?;
                 let document = String::from_utf8(body.to_bytes().into()).map_err(|_| No::Body)?;
-                Call::Propose { document, base }
+                Call::proposal(document, base)
             }
             ["policy"] => must(Method::GET, "GET or POST").map(|()| Call::Status)?,
             ["peers"] => must(Method::GET, "GET").map(|()| Call::Status)?,
@@ -173,7 +173,7 @@
             }
             _ => return Err(No::Path),
         };
-        let told = timeout(ANSWER_TIME, handle.call(call)).await.ok().flatten().ok_or(No::Ledger)?;
+        let told = handle.ask(call, ANSWER_TIME).await.ok_or(No::Ledger)?;
         let mut reply = Response::new(Full::new(format!("{:#}\n", told.body).into()));
         *reply.status_mut() = StatusCode::from_u16(told.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
         reply.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
@@ -186,7 +186,7 @@
     async fn decree(&self, subject: Subject, out: bool) -> Result<&'static str, No> {
         let Some(handle) = &self.conductors else { return Ok("") };
         let call = if out { Call::Mark(subject) } else { Call::Lift(subject) };
-        let told = timeout(ANSWER_TIME, handle.call(call)).await.ok().flatten().ok_or(No::Ledger)?;
+        let told = handle.ask(call, ANSWER_TIME).await.ok_or(No::Ledger)?;
         match (told.status, told.body["agreed"] == true) {
             (200, true) => Ok(", agreed by all conductors"),
             (200, false) => Ok(", here and where this conductor is heard; not agreed by all yet"),
