--- a/rig/src/conductor.rs
+++ b/rig/src/conductor.rs
@@ -18,7 +18,7 @@
 use tokio::sync::watch;
 
 /// Far above any wait that is meant: only a run that fails comes to its end.
-pub const PATIENCE: Duration = Duration::from_secs(30);
+pub const TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Lines that a process wrote, over all its runs.
 #[derive(Clone, Default)]
@@ -49,7 +49,7 @@
     pub async fn wait(&self, place: usize, text: &str) -> Option<String> {
         let find = || self.from(place).into_iter().find(|line| line.contains(text));
         let mut count = self.count.subscribe();
-        let waited = tokio::time::timeout(PATIENCE, async {
+        let waited = tokio::time::timeout(TIMEOUT, async {
             loop {
                 if let Some(line) = find() {
                     return Some(line);
@@ -200,7 +200,7 @@
     /// Waits for it to end by itself; its exit code.
     pub async fn ended(&mut self) -> Option<i32> {
         let mut child = self.child.take()?;
-        tokio::time::timeout(PATIENCE, child.wait()).await.ok()?.ok()?.code()
+        tokio::time::timeout(TIMEOUT, child.wait()).await.ok()?.ok()?.code()
     }
 
     /// Whether a process is there.
@@ -238,7 +238,7 @@
                 tokio::time::sleep(Duration::from_millis(15)).await;
             }
         };
-        tokio::time::timeout(PATIENCE, tries).await.is_ok()
+        tokio::time::timeout(TIMEOUT, tries).await.is_ok()
     }
 }
 
--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -6,7 +6,7 @@
 use serde_json::{Value, json};
 use tempfile::TempDir;
 
-use crate::conductor::{Conductor, Home, PATIENCE, Place, free_home};
+use crate::conductor::{Conductor, Home, Place, TIMEOUT, free_home};
 use crate::faults::{Faults, Link};
 use crate::stand_ins::{Instance, Record, Role, discovery, instance};
 use crate::{Clock, Micros};
@@ -245,7 +245,7 @@
                 tokio::time::sleep(std::time::Duration::from_millis(20)).await;
             }
         };
-        tokio::time::timeout(PATIENCE, found).await.unwrap_or_else(|_| panic!("nobody leads the ledger"))
+        tokio::time::timeout(TIMEOUT, found).await.unwrap_or_else(|_| panic!("nobody leads the ledger"))
     }
 
     /// The conductor that leads the ledger, as one that is up tells it.
--- a/rig/src/load.rs
+++ b/rig/src/load.rs
@@ -16,7 +16,7 @@
 use crate::{Clock, Micros};
 
 /// For a whole exchange; clients give up after it.
-pub const PATIENCE: Duration = Duration::from_secs(8);
+pub const TIMEOUT: Duration = Duration::from_secs(8);
 
 /// What became of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -139,7 +139,7 @@
         come_back: false,
     };
     let exchange = exchange(target, &mut asked, clock);
-    if tokio::time::timeout(PATIENCE, exchange).await.is_err() {
+    if tokio::time::timeout(TIMEOUT, exchange).await.is_err() {
         asked.outcome = if asked.answered.is_some() { Outcome::Broken } else { Outcome::Lost };
     }
     asked
--- a/rig/src/policy.rs
+++ b/rig/src/policy.rs
@@ -11,10 +11,10 @@
 use serde_json::Value;
 
 use crate::check::{self, Change, Stand, Told};
-use crate::conductor::{PATIENCE, call};
+use crate::conductor::{TIMEOUT, call};
 use crate::faults::Faults;
 use crate::fleet::{Away, Fleet, Size, document};
-use crate::load::{Asked, Load, Outcome, PATIENCE as LOAD_PATIENCE};
+use crate::load::{Asked, Load, Outcome, TIMEOUT as LOAD_TIMEOUT};
 use crate::{Clock, Micros};
 
 /// A run's result.
@@ -82,7 +82,7 @@
 
 /// Waits until all that run stand at the same revision with no change under way, and gives where they stand.
 pub async fn settled(fleet: &Fleet) -> Vec<Stand> {
-    let until = tokio::time::Instant::now() + PATIENCE;
+    let until = tokio::time::Instant::now() + TIMEOUT;
     loop {
         let mut stands = Vec::new();
         let mut busy = false;
@@ -106,7 +106,7 @@
     fleet: &Fleet, asked: &[Asked], changes: &[Change], stands: &[Stand], away: &[Away],
 ) -> Vec<String> {
     let cut_short = |a: &Asked| {
-        let (from, to) = (a.sent, a.sent + LOAD_PATIENCE.as_micros() as Micros);
+        let (from, to) = (a.sent, a.sent + LOAD_TIMEOUT.as_micros() as Micros);
         away.iter().any(|(at, since, until)| *at == a.at && from <= *until && *since <= to)
     };
     let mut found = check::one_moment(asked);
--- a/rig/src/replicate.rs
+++ b/rig/src/replicate.rs
@@ -16,7 +16,7 @@
 use serde_json::json;
 
 use crate::check::{self, Banned, Cold, Decree};
-use crate::conductor::{PATIENCE, call};
+use crate::conductor::{TIMEOUT, call};
 use crate::fleet::{Away, Fleet, Size};
 use crate::load::{Load, Outcome};
 use crate::policy::{Report, disturb_somehow, findings, mend};
@@ -101,7 +101,7 @@
 
 /// Waits until all that run have the same root and the same instances out; when that was, and what is out where.
 pub async fn equal(fleet: &Fleet) -> (Option<Micros>, Vec<Banned>) {
-    let until = tokio::time::Instant::now() + PATIENCE;
+    let until = tokio::time::Instant::now() + TIMEOUT;
     loop {
         let (mut roots, mut out) = (BTreeSet::new(), Vec::new());
         for conductor in fleet.conductors.iter().filter(|conductor| conductor.runs()) {
--- a/src/control/coordinator.rs
+++ b/src/control/coordinator.rs
@@ -10,7 +10,7 @@
 
 /// What is known of a session.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
-struct Seat {
+struct SessionState {
     granted_at: Option<Micros>,
     standing: Option<(ChangeId, Standing)>,
     /// Its process has ended.
@@ -23,13 +23,13 @@
     elected_at: Micros,
     /// Since when the change is waited for.
     waiting: Option<(ChangeId, Micros)>,
-    seats: BTreeMap<Session, Seat>,
+    sessions: BTreeMap<Session, SessionState>,
 }
 
 impl Coordinator {
     /// A leader that was elected at this moment.
     pub fn new(elected_at: Micros) -> Self {
-        Coordinator { elected_at, waiting: None, seats: BTreeMap::new() }
+        Coordinator { elected_at, waiting: None, sessions: BTreeMap::new() }
     }
 
     /// Takes a session's word in; the answer is its lease. `authority` says that a majority knew this leader as such
@@ -38,25 +38,25 @@
         if !agreed.sessions.values().any(|session| *session == report.session) {
             return None;
         }
-        let seat = self.seats.entry(report.session).or_default();
-        seat.standing = report.standing;
+        let session_state = self.sessions.entry(report.session).or_default();
+        session_state.standing = report.standing;
         if !authority {
             return None;
         }
-        seat.granted_at = Some(now);
+        session_state.granted_at = Some(now);
         Some(Grant { session: report.session, asked_at: report.asked_at })
     }
 
     /// The address of this session's process refused a connection that was begun after the session was known here.
     pub fn refused(&mut self, session: Session) {
-        self.seats.entry(session).or_default().refused = true;
+        self.sessions.entry(session).or_default().refused = true;
     }
 
     /// The entries that are due. They are proposed again until they take effect, so a lost one does no harm.
     pub fn due(&mut self, now: Micros, agreed: &Agreed) -> Vec<Command> {
         let live: BTreeSet<_> = agreed.sessions.values().copied().collect();
-        self.seats.retain(|session, _| live.contains(session));
-        let ended = self.seats.iter().filter(|(_, seat)| seat.refused);
+        self.sessions.retain(|session, _| live.contains(session));
+        let ended = self.sessions.iter().filter(|(_, session_state)| session_state.refused);
         let ended = ended.map(|(&session, _)| Command::Expire { session, evidence: Evidence::Refused });
         let mut due: Vec<_> = ended.collect();
         let Some(change) = &agreed.change else {
@@ -69,8 +69,10 @@
         let since = self.waiting.map_or(now, |(_, since)| since);
         let mut missing = Vec::new();
         for (name, session) in &agreed.sessions {
-            let seat = self.seats.get(session);
-            let said = seat.and_then(|seat| seat.standing.as_ref()).filter(|(id, _)| *id == change.id);
+            let session_state = self.sessions.get(session);
+            let said = session_state
+                .and_then(|session_state| session_state.standing.as_ref())
+                .filter(|(id, _)| *id == change.id);
             match (change.phase, said.map(|(_, standing)| standing)) {
                 (Phase::Proposed, Some(Standing::Declined(why))) => {
                     return vec![Command::Abort { id: change.id, who: vec![name.clone()], why: why.clone() }];
@@ -105,7 +107,7 @@
     /// When every lease that this session may hold has run out: this leader's, and those of leaders before it.
     fn lapses_at(&self, session: Session) -> Micros {
         let before = self.elected_at.saturating_add(AUTHORITY + LEASE);
-        let own = self.seats.get(&session).and_then(|seat| seat.granted_at);
+        let own = self.sessions.get(&session).and_then(|session_state| session_state.granted_at);
         before.max(own.map_or(before, |at| at.saturating_add(LEASE))).saturating_add(DRIFT)
     }
 }
--- a/src/control/desk.rs
+++ b/src/control/desk.rs
@@ -23,7 +23,7 @@
 use super::{AUTHORITY, policy};
 use crate::api::{Micros, Settings};
 use crate::estimate::Learnt;
-use crate::ledger::store::{Disk, Shelf};
+use crate::ledger::store::{Disk, StateStore};
 use crate::ledger::{Ledger, LedgerError, number};
 use crate::node::Clock;
 use crate::peers::alive::{Alive, Change};
@@ -196,8 +196,8 @@
     let listener = std::net::TcpListener::bind(me.address).map_err(|e| StartError::Listen(me.address, e))?;
     listener.set_nonblocking(true).map_err(|e| StartError::Listen(me.address, e))?;
     let (disk, loaded) = Disk::open(store, cluster, &me.name).map_err(LedgerError::from)?;
-    let shelf = disk.shelf();
-    let kept = shelf.load().map_err(LedgerError::from)?;
+    let state_store = disk.state();
+    let kept = state_store.load().map_err(LedgerError::from)?;
     let ledger = Ledger::open(&me.name, setup.roster.founders(), disk, loaded)?;
     let session = Session(rand::rng().random());
     let right = Arc::new(Right::new(Gate::new(session), setup.settings.clone()));
@@ -248,7 +248,7 @@
                 waiting: Vec::new(),
                 not_proposed: VecDeque::new(),
                 share,
-                shelf,
+                state_store,
                 share_news,
                 claims: BTreeMap::new(),
                 removing: Vec::new(),
@@ -299,7 +299,7 @@
     /// The last proposals that were turned down before they came to the ledger, with what was said.
     not_proposed: VecDeque<(ChangeId, Reply)>,
     share: Share,
-    shelf: Shelf,
+    state_store: StateStore,
     share_news: mpsc::UnboundedSender<share::News>,
     claims: BTreeMap<Try, oneshot::Sender<(Decision, Option<Try>)>>,
     /// Members that are to be removed, until when that is asked for.
@@ -631,7 +631,7 @@
         let now = self.now();
         let unsaved = self.share.unsaved(now);
         if !unsaved.is_empty()
-            && let Err(fault) = self.shelf.write(&unsaved)
+            && let Err(fault) = self.state_store.write(&unsaved)
         {
             tracing::debug!("state: {fault}");
             self.share.store_failed();
--- a/src/control/desk/tests.rs
+++ b/src/control/desk/tests.rs
@@ -13,13 +13,13 @@
 #[tokio::test(start_paused = true)]
 async fn a_proposal_that_is_not_answered_in_time_names_its_number() {
     let (handle, mut asked) = handle();
-    let (patience, proposal) = (Duration::from_millis(950), || Call::proposal("text".into(), None));
-    let reply = handle.ask(proposal(), patience).await.expect("an answer");
+    let (within, proposal) = (Duration::from_millis(950), || Call::proposal("text".into(), None));
+    let reply = handle.ask(proposal(), within).await.expect("an answer");
     let Some((Call::Propose { id, .. }, _)) = asked.recv().await else { panic!("it was not passed on") };
     assert_eq!((reply.status, &reply.body["outcome"]), (202, &json!("unknown")));
     assert_eq!(reply.body["id"], json!(id.to_string()));
     assert_eq!(reply.body["see"], json!(format!("/policy/changes/{id}")));
-    assert_eq!(handle.ask(Call::Status, patience).await, None);
+    assert_eq!(handle.ask(Call::Status, within).await, None);
     drop(asked);
-    assert_eq!(handle.ask(proposal(), patience).await, None);
+    assert_eq!(handle.ask(proposal(), within).await, None);
 }
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -48,12 +48,12 @@
 }
 
 /// The log as the library reads it. The library's own store in memory makes no snapshots with content.
-struct Shelf {
+struct LogStorage {
     log: MemStorage,
     snap: Snapshot,
 }
 
-impl Storage for Shelf {
+impl Storage for LogStorage {
     fn initial_state(&self) -> raft::Result<RaftState> {
         self.log.initial_state()
     }
@@ -96,7 +96,7 @@
 
 /// One conductor's part of the ledger.
 pub struct Ledger<S> {
-    node: RawNode<Shelf>,
+    node: RawNode<LogStorage>,
     store: S,
     agreed: Agreed,
     applied: u64,
@@ -122,22 +122,22 @@
             loaded.snap = Some(snap);
         }
         let log = MemStorage::new();
-        let mut shelf = Shelf { log, snap: Snapshot::default() };
+        let mut storage = LogStorage { log, snap: Snapshot::default() };
         let mut agreed = Agreed::default();
         let mut applied = 0;
         if let Some(snap) = &loaded.snap {
             agreed = Agreed::decode(&snap.data).map_err(Unfit::from)?;
             applied = snap.index;
-            shelf.snap = snap.to_raft();
-            shelf.log.wl().apply_snapshot(shelf.snap.clone())?;
+            storage.snap = snap.to_raft();
+            storage.log.wl().apply_snapshot(storage.snap.clone())?;
         }
         let entries: Result<Vec<_>, _> =
             loaded.entries.iter().filter(|e| e.index > applied).map(Entry::to_raft).collect();
-        shelf.log.wl().append(&entries?)?;
+        storage.log.wl().append(&entries?)?;
         if let Some(hard) = loaded.hard {
-            let last = shelf.log.last_index()?;
+            let last = storage.log.last_index()?;
             let commit = hard.commit.clamp(applied, last);
-            shelf.log.wl().set_hardstate(Hard { commit, ..hard }.to_raft());
+            storage.log.wl().set_hardstate(Hard { commit, ..hard }.to_raft());
         }
         let config = Config {
             id: number(name),
@@ -151,7 +151,7 @@
             ..Config::default()
         };
         let quiet = slog::Logger::root(slog::Discard, slog::o!());
-        let node = RawNode::new(&config, shelf, &quiet)?;
+        let node = RawNode::new(&config, storage, &quiet)?;
         let mut ledger = Ledger { node, store, agreed, applied, names: BTreeMap::new() };
         ledger.name_members();
         Ok(ledger)
@@ -278,9 +278,9 @@
             if let Some(snap) = snap {
                 self.agreed = Agreed::decode(&snap.data).map_err(Unfit::from)?;
                 self.applied = snap.index;
-                let shelf = self.node.mut_store();
-                shelf.snap = snap.to_raft();
-                shelf.log.wl().apply_snapshot(shelf.snap.clone())?;
+                let storage = self.node.mut_store();
+                storage.snap = snap.to_raft();
+                storage.log.wl().apply_snapshot(storage.snap.clone())?;
                 self.name_members();
                 out.applied.push(format!("all up to entry {} was taken over from the leader", snap.index));
                 out.moved = true;
@@ -353,9 +353,9 @@
             snap: Some(snap.clone()),
             ..Batch::default()
         })?;
-        let shelf = self.node.mut_store();
-        shelf.snap = snap.to_raft();
-        shelf.log.wl().compact(snap.index)?;
+        let storage = self.node.mut_store();
+        storage.snap = snap.to_raft();
+        storage.log.wl().compact(snap.index)?;
         Ok(())
     }
 
--- a/src/ledger/store.rs
+++ b/src/ledger/store.rs
@@ -87,7 +87,7 @@
 }
 
 /// The part of the same store that holds shared state.
-pub struct Shelf {
+pub struct StateStore {
     path: PathBuf,
     db: Arc<Database>,
 }
@@ -159,8 +159,8 @@
     }
 
     /// The part that holds shared state.
-    pub fn shelf(&self) -> Shelf {
-        Shelf { path: self.path.clone(), db: self.db.clone() }
+    pub fn state(&self) -> StateStore {
+        StateStore { path: self.path.clone(), db: self.db.clone() }
     }
 
     fn file(&self, fault: impl std::fmt::Display) -> StoreError {
@@ -224,7 +224,7 @@
     }
 }
 
-impl Shelf {
+impl StateStore {
     /// What it holds. Damaged items are left out and told: others have them. A damaged name counts as one that may have
     /// run, as that is what keeping it is for.
     pub fn load(&self) -> Result<Kept, StoreError> {
--- a/src/logic/admission.rs
+++ b/src/logic/admission.rs
@@ -150,8 +150,8 @@
         self.ask(now, near.into_iter().map(|(_, id)| id), out);
     }
 
-    /// The test: the room left, as a share, if the writer keeps the pace of all, has memory, and is in time.
-    pub(super) fn room(
+    /// The test: the headroom left, as a share, if the writer keeps all in pace, has memory, and is in time.
+    pub(super) fn headroom(
         &self, now: Micros, r: &Request, host: &Host, ready_in: f64, tested: bool,
     ) -> Option<f64> {
         let joins = !host.streams.contains(&r.ask.id);
--- a/src/logic/attempts.rs
+++ b/src/logic/attempts.rs
@@ -6,8 +6,8 @@
 const COME_BACK: f64 = 0.6; // part of the longest come-back time spread by chance, lest all return at once
 const HOST_GAIN: f64 = 0.25; // weight of a new sample in a host's mean: a few requests tell
 const KEPT_MOST: usize = 2_000; // texts remembered as kept at one host: bounds the memory used
-const PATIENCE: f64 = 4.0; // time-out of an attempt as a multiple of what is expected...
-const PATIENCE_EXTRA: f64 = 300_000.0; // ...and added to it
+const TIMEOUT_MULTIPLE: f64 = 4.0; // time-out of an attempt as a multiple of what is expected...
+const TIMEOUT_EXTRA: f64 = 300_000.0; // ...and added to it
 const TRY_SHARE: f64 = 0.6; // most of the time left that one attempt may use while others could follow
 const SPOILT_MOST: u32 = 2; // answers in a row that cannot be read before the next counts as a failure
 const FULL_REST: Micros = 100_000; // for which a host that said "full" is left alone, at least...
@@ -44,7 +44,7 @@
         let left = (r.deadline - now).max(1) as f64;
         // A silent host shows only so. The share leaves room for another try, unless all is slow.
         let share = if left * TRY_SHARE > expected * 1.5 { left * TRY_SHARE } else { left };
-        let mut time_out = (expected * PATIENCE + PATIENCE_EXTRA).min(share) as Micros;
+        let mut time_out = (expected * TIMEOUT_MULTIPLE + TIMEOUT_EXTRA).min(share) as Micros;
         (r.sent, r.begun) = (r.sent + 1, now);
         if r.ask.whole && host.role != Role::Read {
             // Its silence tells nothing of the host until all is written, so it may take all the time left.
--- a/src/logic/health.rs
+++ b/src/logic/health.rs
@@ -5,8 +5,8 @@
 const REST: Micros = 250_000; // for which a host rests after a failure, doubling with each further one...
 const REST_MOST: Micros = 2_000_000; // ...up to this, so that it is soon found when it is back
 const LAST_EACH: Micros = 100_000; // for each router, for which a failed host comes last: few requests tell
-const HOLLOW: f64 = 0.4; // of the mean load, under which a warm writer gets nothing that must not run twice,
-const HOLLOW_LEAST: f64 = 0.05; // while the mean is above this share of memory
+const IDLE_SUSPECT: f64 = 0.4; // of the mean load, under which a warm writer is sent nothing unsafe,
+const IDLE_SUSPECT_LEAST: f64 = 0.05; // while the mean is above this share of memory
 const FAILS_RESTART: u32 = 3; // failures in a row after which a host that works again is taken for cold
 
 impl Host {
@@ -35,9 +35,9 @@
     }
 
     /// Far emptier than the rest though warm, as a writer is that answers with errors at once.
-    pub(super) fn hollow(&self, now: Micros, host: &Host) -> bool {
-        let tells = self.set.routers > FEW_ROUTERS && self.all.others > HOLLOW_LEAST;
-        let empty = host.others.is_some_and(|o| o.value < HOLLOW * self.all.others * host.memory);
+    pub(super) fn idle_suspect(&self, now: Micros, host: &Host) -> bool {
+        let tells = self.set.routers > FEW_ROUTERS && self.all.others > IDLE_SUSPECT_LEAST;
+        let empty = host.others.is_some_and(|o| o.value < IDLE_SUSPECT * self.all.others * host.memory);
         tells && empty && host.warmth(now, &self.set.rules) >= 1.0
     }
 
--- a/src/logic/pairing.rs
+++ b/src/logic/pairing.rs
@@ -78,13 +78,14 @@
         let once = r.by.classes[r.ask.class.0].effect == Effect::Unsafe;
         let fits = |h: &&Host| h.role != Role::Read && takes(h) && wanted(h);
         let drawn = |h: &Host| {
-            let room = self.room(now, r, h, ready_in, tested)?;
+            let headroom = self.headroom(now, r, h, ready_in, tested)?;
             // Emptier than most is no better: reports are late, and what fails at once looks empty.
             let most = if self.set.routers > FEW_ROUTERS { 1.0 - self.all.others } else { 1.0 };
-            let weight = room.min(most.max(SPARE_LEAST)).max(0.0).powf(CHOICE);
+            let weight = headroom.min(most.max(SPARE_LEAST)).max(0.0).powf(CHOICE);
             let weight = weight * zone_weight(r, h) * reader.map_or(1.0, |from| place(h, from));
-            let rank = if room > 0.0 { weighted(h.id.0, self.salt ^ r.ask.id.0, weight) } else { room };
-            Some((!(self.last(now, h) || once && self.hollow(now, h)), rank, h.id))
+            let rank =
+                if headroom > 0.0 { weighted(h.id.0, self.salt ^ r.ask.id.0, weight) } else { headroom };
+            Some((!(self.last(now, h) || once && self.idle_suspect(now, h)), rank, h.id))
         };
         let all: f64 = self.hosts.values().filter(fits).map(|h| h.warmth(now, &self.set.rules)).sum();
         let spared = |h: &&Host| self.spared(now, h, r, 1.0 / all.max(1e-9)) || self.overbooked(now, h, r);
--- a/src/node/door.rs
+++ b/src/node/door.rs
@@ -133,7 +133,7 @@
 }
 
 /// The client's patience under this policy, which is no longer than its class's deadline there.
-pub fn patience(ask: &NewRequest, active: &Active) -> Micros {
+pub fn time_left(ask: &NewRequest, active: &Active) -> Micros {
     let Some(class) = active.settings.classes.get(ask.class.0).filter(|_| active.policy.is_some()) else {
         return ask.time_left;
     };
--- a/src/node/front/chat.rs
+++ b/src/node/front/chat.rs
@@ -274,7 +274,7 @@
         if request.extensions().get::<Arrival>().is_some_and(|arrival| arrival.conflicting) {
             return Err(Fault::Invalid("Content-Length and Transfer-Encoding exclude each other".into()));
         }
-        let (body, room) = match read_body(&mut request, true, &self.intake).await {
+        let (body, permit) = match read_body(&mut request, true, &self.intake).await {
             Err(BodyError::NoRoom) => return Err(self.shed()),
             read => read?,
         };
@@ -295,7 +295,7 @@
         let target = target.ok_or_else(|| Fault::Path(String::new()))?;
         let content_type = Some(HeaderValue::from_static("application/json"));
         let (streamed, payload) = (!ask.whole, Payload { id, target, content_type, body });
-        let answer = begin(&self.core, ask, (payload, room), self.shutdown.pending());
+        let answer = begin(&self.core, ask, (payload, permit), self.shutdown.pending());
         let given = answer.await;
         #[cfg(feature = "cluster")]
         if let (Some((name, of)), Some(handle)) = (claimed, &self.conductors) {
--- a/src/node/front/intake.rs
+++ b/src/node/front/intake.rs
@@ -386,14 +386,14 @@
 }
 
 /// Bytes of a body that are held, given back when dropped.
-pub struct BodyRoom {
+pub struct BodyPermit {
     intake: Rc<Intake>,
     bytes: usize,
 }
 
-impl BodyRoom {
+impl BodyPermit {
     fn new(intake: Rc<Intake>) -> Self {
-        BodyRoom { intake, bytes: 0 }
+        BodyPermit { intake, bytes: 0 }
     }
 
     /// Room for so many bytes more, if there is any.
@@ -408,7 +408,7 @@
     }
 }
 
-impl Drop for BodyRoom {
+impl Drop for BodyPermit {
     fn drop(&mut self) {
         self.intake.bytes.set(self.intake.bytes.get() - self.bytes);
     }
@@ -509,7 +509,7 @@
 /// can go on.
 pub async fn read_body(
     request: &mut Request<Incoming>, wanted: bool, intake: &Rc<Intake>,
-) -> Result<(Bytes, BodyRoom), BodyError> {
+) -> Result<(Bytes, BodyPermit), BodyError> {
     let now = Instant::now();
     let since = request.extensions().get::<Arrival>().map_or(now, |arrival| arrival.since);
     let until = (since + REQUEST_TIME).max(now + BODY_LEAST);
@@ -519,7 +519,7 @@
     if hint > DISCARD_MOST as u64 {
         return Err(BodyError::TooLarge);
     }
-    let mut room = BodyRoom::new(intake.clone());
+    let mut permit = BodyPermit::new(intake.clone());
     let read = async {
         let (mut text, mut seen, mut kept) = (BytesMut::new(), 0, wanted);
         while let Some(frame) = body.frame().await {
@@ -529,7 +529,7 @@
                 return Err(BodyError::TooLarge);
             }
             // Room is taken for what has come, not for what was announced.
-            kept = kept && seen <= BODY_MOST && room.grow(data.len());
+            kept = kept && seen <= BODY_MOST && permit.grow(data.len());
             if kept {
                 if text.is_empty() {
                     text.reserve(hint.min(BODY_MOST as u64) as usize);
@@ -545,7 +545,7 @@
     };
     let text = timeout_at(until, read).await.unwrap_or(Err(BodyError::Slow))?;
     arrived.inspect(|whole| whole.store(true, Ordering::Relaxed));
-    Ok((text, room))
+    Ok((text, permit))
 }
 
 #[cfg(test)]
--- a/src/node/front/mod.rs
+++ b/src/node/front/mod.rs
@@ -35,7 +35,7 @@
 use crate::node::process::shutdown::{Pending, STILL_ARRIVING, Shutdown};
 use crate::node::upstream::attempt::Payload;
 use crate::node::upstream::events::{Piece, StreamBroken};
-use intake::{BUFFER, BodyRoom, Framed, Intake, Line, Place, Stream};
+use intake::{BUFFER, BodyPermit, Framed, Intake, Line, Place, Stream};
 use spiffe::{Identities, Peer};
 
 /// For a client to send a head, or to stay idle between requests. After 2 s a connection without an open request may
@@ -87,7 +87,7 @@
 /// Starts a request's life, with the room of its body and what it keeps until its end. It has a task of its own: a front's future is dropped
 /// when the client leaves, and the request still has to be withdrawn and let go of.
 pub fn begin<K: 'static>(
-    core: &Core, ask: NewRequest, payload: (Payload, BodyRoom), keep: K,
+    core: &Core, ask: NewRequest, payload: (Payload, BodyPermit), keep: K,
 ) -> oneshot::Receiver<Given> {
     let (caller, answer) = Caller::new(payload.0.id.clone());
     let core = core.clone();
--- a/src/node/front/platform.rs
+++ b/src/node/front/platform.rs
@@ -13,7 +13,7 @@
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
 use hyper::{Method, Request, Response, StatusCode};
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_128};
 
 use super::intake::{Arrival, BodyError, Intake, read_body};
 use super::{Pieces, Reply, begin};
@@ -25,8 +25,8 @@
 use crate::node::upstream::attempt::Payload;
 use crate::wire::Names;
 
-/// Ids remembered after their requests have ended, to turn repeats down.
-const REMEMBERED: usize = 512;
+/// Ids remembered after their requests have ended, to turn repeats down: minutes of a busy conductor, in under half a megabyte.
+const REMEMBERED: usize = 8_192;
 /// Longest id taken.
 const ID_MOST: usize = 128;
 /// Longest time a client may ask for, in milliseconds.
@@ -80,28 +80,29 @@
     }
 }
 
-/// Ids in use, and the last that were.
+/// Ids in use, and the last that were, each by its hash.
 #[derive(Default)]
 struct Ids {
-    known: HashSet<Rc<str>>,
-    ended: VecDeque<Rc<str>>,
+    known: HashSet<u128>,
+    ended: VecDeque<u128>,
 }
 
 /// The id of an open request; when dropped it is one of the last that were.
-struct OpenId(Rc<RefCell<Ids>>, Rc<str>);
+struct OpenId(Rc<RefCell<Ids>>, u128);
 
 impl OpenId {
     /// Takes an id that is new.
-    fn take(ids: &Rc<RefCell<Ids>>, id: &Rc<str>) -> Option<Self> {
-        let new = ids.borrow_mut().known.insert(id.clone());
-        new.then(|| OpenId(ids.clone(), id.clone()))
+    fn take(ids: &Rc<RefCell<Ids>>, id: &str) -> Option<Self> {
+        let id = xxh3_128(id.as_bytes());
+        let new = ids.borrow_mut().known.insert(id);
+        new.then(|| OpenId(ids.clone(), id))
     }
 }
 
 impl Drop for OpenId {
     fn drop(&mut self) {
         let mut ids = self.0.borrow_mut();
-        ids.ended.push_back(self.1.clone());
+        ids.ended.push_back(self.1);
         if ids.ended.len() > REMEMBERED
             && let Some(old) = ids.ended.pop_front()
         {
@@ -176,7 +177,7 @@
         }
         let headers = request.headers();
         let head = id(headers).and_then(|id| Ok((Rc::<str>::from(id), ask(headers, &self.names)?)));
-        let (body, room) = match read_body(&mut request, head.is_ok(), &self.intake).await {
+        let (body, permit) = match read_body(&mut request, head.is_ok(), &self.intake).await {
             Err(BodyError::NoRoom) => return Ok(self.shed()),
             read => read?,
         };
@@ -189,7 +190,7 @@
         let target = request.uri().path_and_query().cloned().ok_or(Malformed::Path)?;
         let content_type = request.headers().get(CONTENT_TYPE).cloned();
         let payload = Payload { id, target, content_type, body };
-        let answer = begin(&self.core, ask, (payload, room), (open, self.shutdown.pending()));
+        let answer = begin(&self.core, ask, (payload, permit), (open, self.shutdown.pending()));
         let (answer, revision) =
             answer.await.map_or((Answer::Failed, None), |given| (given.answer, given.revision));
         let mut reply = match answer {
@@ -298,3 +299,6 @@
     reply.headers_mut().insert(CONTENT_TYPE, kind);
     reply
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/node/list/discovery.rs
+++ b/src/node/list/discovery.rs
@@ -17,7 +17,7 @@
 
 use super::fleet::Fleet;
 use super::membership::{OlderList, Targets};
-use super::pace::{Cause, Pace, Patience};
+use super::pace::{CallTimeouts, Cause, Pace};
 use super::targets::{Faults, MOST, Reader, Unreadable};
 use crate::node::counters::add;
 
@@ -127,7 +127,7 @@
     fn call(&mut self, addr: SocketAddr) {
         add(&self.fleet.core().counters.watches);
         self.asked = Instant::now();
-        self.calls.spawn_local(ask(addr, self.fleet.version(), self.pace.patience()));
+        self.calls.spawn_local(ask(addr, self.fleet.version(), self.pace.timeouts()));
         // Whatever becomes of this one: a call that stays unanswered must not hide that discovery is back.
         self.next = Some(self.asked + self.pace.beside());
     }
@@ -253,12 +253,12 @@
 
 /// Asks for the changes since this version, or for the whole list. A watch is heard with its first bytes: behind a head alone
 /// may stand a service that is gone by then.
-async fn ask(addr: SocketAddr, since: Option<u64>, patience: Patience) -> Result<Heard, WatchError> {
+async fn ask(addr: SocketAddr, since: Option<u64>, timeouts: CallTimeouts) -> Result<Heard, WatchError> {
     let begun = Instant::now();
     let Some(since) = since else {
-        let mut body = get(addr, "/api/targets", patience.answer).await?;
+        let mut body = get(addr, "/api/targets", timeouts.answer).await?;
         let mut text = BytesMut::new();
-        let by = begun + patience.answer;
+        let by = begun + timeouts.answer;
         while let Some(part) = timeout_at(by, body.frame()).await.map_err(|_| WatchError::Silent)? {
             text.extend_from_slice(&part?.into_data().unwrap_or_default());
             if text.len() > MOST {
@@ -268,8 +268,8 @@
         let (list, faults) = Targets::parse(&text)?;
         return Ok(Heard::Whole(list, faults));
     };
-    let mut body = get(addr, &format!("/api/targets?follow=1&since={since}"), patience.answer).await?;
-    let by = begun + patience.first_line;
+    let mut body = get(addr, &format!("/api/targets?follow=1&since={since}"), timeouts.answer).await?;
+    let by = begun + timeouts.first_line;
     while let Some(part) = timeout_at(by, body.frame()).await.map_err(|_| WatchError::Silent)? {
         let first = part?.into_data().unwrap_or_default();
         if !first.is_empty() {
--- a/src/node/list/pace.rs
+++ b/src/node/list/pace.rs
@@ -53,7 +53,7 @@
 
 /// How long a call is waited for, each from its begin on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Patience {
+pub struct CallTimeouts {
     /// For its answer: the head of a watch, the whole of a list.
     pub answer: Duration,
     /// For the first bytes on a watch, which brings a line at least every [`LINE_EVERY`].
@@ -86,15 +86,15 @@
     }
 
     /// How long the next call is waited for.
-    pub fn patience(&mut self) -> Patience {
+    pub fn timeouts(&mut self) -> CallTimeouts {
         self.calls = self.calls.wrapping_add(1);
         match self.step {
             Some(step)
                 if !self.calls.is_multiple_of(PATIENT.max(PATIENT_EVERY.div_duration_f64(step) as u32)) =>
             {
-                Patience { answer: step * STEPS, first_line: step * STEPS }
+                CallTimeouts { answer: step * STEPS, first_line: step * STEPS }
             }
-            _ => Patience { answer: TURN, first_line: TURN + self.silence() },
+            _ => CallTimeouts { answer: TURN, first_line: TURN + self.silence() },
         }
     }
 
--- a/src/node/planner.rs
+++ b/src/node/planner.rs
@@ -68,19 +68,19 @@
         if let Some(learnt) = learnt {
             router.all = learnt;
         }
-        let desk = Desk { router, clock, seats: HashMap::new(), inputs: inputs.clone(), fleet };
+        let desk = Desk { router, clock, handles: HashMap::new(), inputs: inputs.clone(), fleet };
         tokio::task::spawn_local(desk.run(inbox));
         (Planner { inputs, next_id: Rc::default() }, fleet_orders)
     }
 
     /// Brings a new request; its id is given here.
-    pub fn arrive(&self, mut ask: NewRequest) -> Seat {
+    pub fn arrive(&self, mut ask: NewRequest) -> RequestHandle {
         let id = RequestId(self.next_id.get() + 1);
         self.next_id.set(id.0);
         ask.id = id;
         let (sender, orders) = mpsc::unbounded_channel();
         self.put(Input::Arrive(ask, sender));
-        Seat { id, planner: self.clone(), orders }
+        RequestHandle { id, planner: self.clone(), orders }
     }
 
     /// Tells the list of hosts, whole or only its changes.
@@ -143,13 +143,13 @@
 }
 
 /// A request's place at its planner, given back when dropped.
-pub struct Seat {
+pub struct RequestHandle {
     id: RequestId,
     planner: Planner,
     orders: UnboundedReceiver<Order>,
 }
 
-impl Seat {
+impl RequestHandle {
     /// The next order; without a planner there is none, and the request has failed.
     pub async fn next(&mut self) -> Order {
         self.orders.recv().await.unwrap_or(Order::Fail)
@@ -173,7 +173,7 @@
     }
 }
 
-impl Drop for Seat {
+impl Drop for RequestHandle {
     fn drop(&mut self) {
         self.planner.put(Input::Closed(self.id));
     }
@@ -187,7 +187,7 @@
 struct Desk {
     router: Router,
     clock: Clock,
-    seats: HashMap<RequestId, UnboundedSender<Order>>,
+    handles: HashMap<RequestId, UnboundedSender<Order>>,
     inputs: UnboundedSender<Input>,
     fleet: UnboundedSender<FleetOrder>,
 }
@@ -202,8 +202,8 @@
             let mut marks = Vec::new();
             for input in inputs.drain(..) {
                 match input {
-                    Input::Arrive(ask, seat) => {
-                        self.seats.insert(ask.id, seat);
+                    Input::Arrive(ask, handle) => {
+                        self.handles.insert(ask.id, handle);
                         events.push(Event::Request(ask));
                     }
                     Input::Tell(event) => {
@@ -234,7 +234,7 @@
                 self.act(action);
             }
             parted.into_iter().for_each(|id| self.order(id, Order::Parted));
-            closed.iter().for_each(|id| drop(self.seats.remove(id)));
+            closed.iter().for_each(|id| drop(self.handles.remove(id)));
             marks.into_iter().for_each(|mark| drop(mark.send(self.router.all.clone())));
         }
     }
@@ -264,8 +264,8 @@
 
     /// A request whose task has ended needs no orders.
     fn order(&self, id: RequestId, order: Order) {
-        if let Some(seat) = self.seats.get(&id) {
-            let _ = seat.send(order);
+        if let Some(handle) = self.handles.get(&id) {
+            let _ = handle.send(order);
         }
     }
 }
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -11,8 +11,8 @@
 use tokio::time::{Instant, sleep_until, timeout};
 
 use super::counters::add;
-use super::door::{TurnedAway, patience};
-use super::planner::{End, Order, Seat};
+use super::door::{TurnedAway, time_left};
+use super::planner::{End, Order, RequestHandle};
 use super::{Core, span};
 use crate::api::{AttemptId, HostId, Load, Micros, NewRequest, Outcome};
 use crate::control::state::Revision;
@@ -123,10 +123,10 @@
     Overdue,
 }
 
-async fn next(seat: &mut Seat, caller: &mut Caller, overdue: Instant, over: bool) -> Next {
+async fn next(handle: &mut RequestHandle, caller: &mut Caller, overdue: Instant, over: bool) -> Next {
     tokio::select! {
         biased;
-        order = seat.next() => Next::Order(order),
+        order = handle.next() => Next::Order(order),
         () = caller.left(), if !over => Next::ClientLeft,
         () = sleep_until(overdue), if !over => Next::Overdue,
     }
@@ -163,8 +163,8 @@
 }
 
 /// Lives one request through. The planner decides at each point of choice; exactly one final answer goes to the
-/// caller, and nothing stays held or sent when this ends. `room` is what the payload takes up, given back with it.
-pub async fn live<R>(core: Core, mut ask: NewRequest, (payload, room): (Payload, R), mut caller: Caller) {
+/// caller, and nothing stays held or sent when this ends. `permit` is what the payload takes up, given back with it.
+pub async fn live<R>(core: Core, mut ask: NewRequest, (payload, permit): (Payload, R), mut caller: Caller) {
     // 0. At the door: which policy decides it to its end, or that this process takes nothing in.
     let arrived = Instant::now();
     let passed = tokio::select! {
@@ -175,7 +175,7 @@
     match passed {
         Ok(Some(active)) => {
             caller.revision = Some(active.revision);
-            ask.time_left = patience(&ask, &active) - arrived.elapsed().as_micros() as Micros;
+            ask.time_left = time_left(&ask, &active) - arrived.elapsed().as_micros() as Micros;
         }
         Ok(None) => {}
         Err(TurnedAway(come_back)) => {
@@ -188,7 +188,7 @@
     let counters = core.counters.clone();
     let mut held = Held { core: &core, id: payload.id.clone(), any: false, under_way: None };
     let whole = ask.whole;
-    let mut seat = core.planner.arrive(ask);
+    let mut handle = core.planner.arrive(ask);
     let mut sent = 0;
     // The client needs no answer any more; the planner has been told so.
     let mut over = false;
@@ -196,7 +196,7 @@
 
     loop {
         // 1. Held: the planner says when to go where, or that it gives up.
-        let (host, time_out) = match next(&mut seat, &mut caller, overdue, over).await {
+        let (host, time_out) = match next(&mut handle, &mut caller, overdue, over).await {
             Next::Order(Order::Send(host, time_out)) => (host, time_out),
             Next::Order(Order::Refuse(come_back)) => {
                 if !over {
@@ -222,14 +222,14 @@
             Next::Order(Order::Cancel(_) | Order::Move) => continue,
             Next::ClientLeft => {
                 add(&counters.left);
-                (over, _) = (true, seat.left());
+                (over, _) = (true, handle.left());
                 continue;
             }
             Next::Overdue => {
                 tracing::error!("request {}: no decision by its deadline", payload.id);
                 add(&counters.overdue);
                 caller.answer(Answer::Failed);
-                (over, _) = (true, seat.left());
+                (over, _) = (true, handle.left());
                 continue;
             }
         };
@@ -243,7 +243,7 @@
         };
         if over {
             let (outcome, last, end) = ended(Outcome::Moot, true, 0.0, None);
-            seat.ended(attempt, host, outcome, last, end);
+            handle.ended(attempt, host, outcome, last, end);
             continue;
         }
 
@@ -259,14 +259,14 @@
         }
         let until = (begun + span(time_out)).min(deadline);
         let (first, load) =
-            attempt_at(&core, (host, attempt, until), &payload, &mut seat, &mut caller, &mut over, overdue)
+            attempt_at(&core, (host, attempt, until), &payload, &mut handle, &mut caller, &mut over, overdue)
                 .await;
         let mut events = match first {
             First::Began(events) => events,
             First::Read(kept) => {
                 held.any = true;
                 let (outcome, last, end) = ended(Outcome::Read, over, kept, load);
-                seat.ended(attempt, host, outcome, last, end);
+                handle.ended(attempt, host, outcome, last, end);
                 if over { break } else { continue }
             }
             First::Ended(outcome) => {
@@ -277,18 +277,18 @@
                     held.release();
                 }
                 let (outcome, last, end) = ended(outcome, over, 0.0, load);
-                seat.ended(attempt, host, outcome, last, end);
+                handle.ended(attempt, host, outcome, last, end);
                 if over { break } else { continue }
             }
         };
 
         // 3. The stream: it is this client's from its first event on, and no deadline runs any more. It is never sent
         // again, so the payload, far larger than the events that wait, goes now.
-        drop((payload, room));
+        drop((payload, permit));
         held.any = false;
         if !whole {
             // A whole answer tells nothing of the time to a first token.
-            seat.began(attempt, host, begun.elapsed().as_micros() as Micros);
+            handle.began(attempt, host, begun.elapsed().as_micros() as Micros);
         }
         let (pieces, receiver) = mpsc::channel(relay::WAITING);
         let form = events.form().clone();
@@ -297,7 +297,7 @@
         } else {
             tokio::select! {
                 passed = relay::pass(&mut events, &pieces) => passed,
-                () = moved(&mut seat) => {
+                () = moved(&mut handle) => {
                     // The client comes again for the rest.
                     let _ = pieces.try_send(Err(StreamBroken::Cut));
                     Passed::Broken(StreamBroken::Cut)
@@ -313,13 +313,13 @@
             Passed::ClientLeft => {
                 if !over {
                     add(&counters.left);
-                    seat.left();
+                    handle.left();
                 }
                 Outcome::Cancelled
             }
         };
         let (outcome, last, end) = ended(outcome, true, 0.0, None);
-        seat.ended(attempt, host, outcome, last, end);
+        handle.ended(attempt, host, outcome, last, end);
         break;
     }
     // Guards against anything left held, whatever the order in which client and planner ended the request.
@@ -331,8 +331,8 @@
 
 /// One attempt up to its first event. A client that leaves is told to the planner, which withdraws the attempt.
 async fn attempt_at(
-    core: &Core, (host, attempt, until): (HostId, AttemptId, Instant), payload: &Payload, seat: &mut Seat,
-    caller: &mut Caller, over: &mut bool, overdue: Instant,
+    core: &Core, (host, attempt, until): (HostId, AttemptId, Instant), payload: &Payload,
+    handle: &mut RequestHandle, caller: &mut Caller, over: &mut bool, overdue: Instant,
 ) -> (First, Option<Load>) {
     let withdrawn = (First::Ended(Outcome::Cancelled), None);
     let first = core.upstream.first(host, payload, until, caller.wanted());
@@ -340,7 +340,7 @@
     loop {
         tokio::select! {
             done = &mut first => return done,
-            next = next(seat, caller, overdue, *over) => match next {
+            next = next(handle, caller, overdue, *over) => match next {
                 Next::Order(Order::Cancel(which)) if which == attempt => return withdrawn,
                 Next::Order(order @ (Order::Refuse(_) | Order::Fail)) => {
                     // The planner has ended it while an attempt is out: answer, and give the attempt up.
@@ -359,7 +359,7 @@
                 Next::ClientLeft | Next::Overdue => {
                     add(&core.counters.left);
                     *over = true;
-                    seat.left();
+                    handle.left();
                 }
             },
         }
@@ -367,9 +367,9 @@
 }
 
 /// Waits for an order to move the stream.
-async fn moved(seat: &mut Seat) {
+async fn moved(handle: &mut RequestHandle) {
     loop {
-        match seat.next().await {
+        match handle.next().await {
             Order::Move => return,
             // The planner's end is the process's end; the stream goes on until then.
             Order::Fail => std::future::pending().await,
--- a/src/node/upstream/pool.rs
+++ b/src/node/upstream/pool.rs
@@ -66,7 +66,7 @@
 }
 
 #[derive(Default)]
-struct Shelf {
+struct InstancePool {
     site: Option<Site>,
     /// Whether the instance may be sent new work: shared with all connections to it.
     open: Rc<Cell<bool>>,
@@ -248,9 +248,9 @@
 
 /// All connections to one fleet.
 pub struct Pool {
-    shelves: RefCell<BTreeMap<HostId, Shelf>>,
+    instances: RefCell<BTreeMap<HostId, InstancePool>>,
     limits: PoolLimits,
-    room: Arc<Semaphore>,
+    permits: Arc<Semaphore>,
     /// Connections left to another process of this conductor.
     left: Cell<usize>,
     /// Connections that the policy sets aside.
@@ -262,11 +262,11 @@
     /// An empty pool.
     pub fn new(mut limits: PoolLimits, counters: Rc<Counters>) -> Self {
         limits.idle = limits.idle.min(IDLE_LONGEST);
-        let room = Arc::new(Semaphore::new(limits.connections));
+        let permits = Arc::new(Semaphore::new(limits.connections));
         Pool {
-            shelves: RefCell::default(),
+            instances: RefCell::default(),
             limits,
-            room,
+            permits,
             left: Cell::new(0),
             wanted_left: Cell::new(0),
             counters,
@@ -275,18 +275,18 @@
 
     /// Keeps to a part of the connections while another process of this conductor has the other, or takes the whole again.
     pub fn share(&self, part: bool) {
-        self.room.add_permits(self.left.take());
+        self.permits.add_permits(self.left.take());
         if part {
             // What is idle beyond the part closes within 2 s; what is in use ends with its exchange.
             let others = self.limits.connections - shared(self.limits.connections);
-            self.left.set(self.room.forget_permits(others));
+            self.left.set(self.permits.forget_permits(others));
         }
     }
 
     /// Keeps to so many connections at most, within the limit of the start; none lifts that. What is in use beyond it ends
     /// with its exchange.
     pub fn limit(&self, most: Option<usize>) {
-        self.room.add_permits(self.left.take());
+        self.permits.add_permits(self.left.take());
         let others = self.limits.connections.saturating_sub(most.unwrap_or(self.limits.connections));
         self.wanted_left.set(others);
         self.trim();
@@ -295,37 +295,37 @@
     /// Sets connections aside that have become free since the limit fell.
     fn trim(&self) {
         let missing = self.wanted_left.get().saturating_sub(self.left.get());
-        self.left.set(self.left.get() + self.room.forget_permits(missing));
+        self.left.set(self.left.get() + self.permits.forget_permits(missing));
     }
 
     /// Takes in where an instance listens, or that it is gone. A new address makes old connections useless.
     pub fn place(&self, host: HostId, site: Option<Site>) {
-        let mut shelves = self.shelves.borrow_mut();
+        let mut instances = self.instances.borrow_mut();
         let Some(site) = site else {
-            return drop(shelves.remove(&host).inspect(|shelf| shelf.open.set(false)));
+            return drop(instances.remove(&host).inspect(|instance| instance.open.set(false)));
         };
-        let shelf = shelves.entry(host).or_default();
-        shelf.open.set(site.ready);
-        if shelf.site.as_ref().is_none_or(|old| old.addr != site.addr) {
-            shelf.idle.clear();
+        let instance = instances.entry(host).or_default();
+        instance.open.set(site.ready);
+        if instance.site.as_ref().is_none_or(|old| old.addr != site.addr) {
+            instance.idle.clear();
         }
-        shelf.site = Some(site);
+        instance.site = Some(site);
     }
 
     /// Where an instance listens.
     pub fn site(&self, host: HostId) -> Option<Site> {
-        self.shelves.borrow().get(&host)?.site.clone()
+        self.instances.borrow().get(&host)?.site.clone()
     }
 
     /// The hosts known.
     pub fn hosts(&self) -> Vec<HostId> {
-        self.shelves.borrow().keys().copied().collect()
+        self.instances.borrow().keys().copied().collect()
     }
 
     /// Ready hosts, the likeliest to answer first: those with a connection at hand, last heard from first.
     pub fn likeliest(&self) -> Vec<HostId> {
-        let shelves = self.shelves.borrow();
-        let ready = shelves.iter().filter(|(_, s)| s.site.as_ref().is_some_and(|site| site.ready));
+        let instances = self.instances.borrow();
+        let ready = instances.iter().filter(|(_, s)| s.site.as_ref().is_some_and(|site| site.ready));
         let mut hosts: Vec<_> = ready.map(|(&id, s)| (s.idle.is_empty(), s.heard, id)).collect();
         hosts.sort_by(|a, b| (a.0, b.1).cmp(&(b.0, a.1)));
         hosts.into_iter().map(|(_, _, id)| id).collect()
@@ -342,16 +342,16 @@
             }
         }
         let place = {
-            let shelves = self.shelves.borrow();
-            let shelf = shelves.get(&host).ok_or(NoConnection)?;
-            (shelf.site.as_ref().ok_or(NoConnection)?.addr, shelf.open.clone())
+            let instances = self.instances.borrow();
+            let instance = instances.get(&host).ok_or(NoConnection)?;
+            (instance.site.as_ref().ok_or(NoConnection)?.addr, instance.open.clone())
         };
         timeout(self.limits.connect, self.open(place)).await.unwrap_or(Err(NoConnection))
     }
 
     fn take_idle(&self, host: HostId) -> Option<Connection> {
-        let mut shelves = self.shelves.borrow_mut();
-        let idle = &mut shelves.get_mut(&host)?.idle;
+        let mut instances = self.instances.borrow_mut();
+        let idle = &mut instances.get_mut(&host)?.idle;
         idle.retain(|c| c.since.elapsed() < self.limits.idle && !c.sender.is_closed());
         let settled = idle.iter().rposition(|c| c.since.elapsed() >= SETTLED)?;
         Some(idle.remove(settled))
@@ -383,50 +383,50 @@
 
     /// Room for one more connection, made by closing the oldest idle one if need be.
     async fn permit(&self) -> Result<OwnedSemaphorePermit, NoConnection> {
-        if let Ok(permit) = self.room.clone().try_acquire_owned() {
+        if let Ok(permit) = self.permits.clone().try_acquire_owned() {
             return Ok(permit);
         }
         let oldest = {
-            let mut shelves = self.shelves.borrow_mut();
-            let idle = shelves.values_mut().filter(|s| !s.idle.is_empty());
+            let mut instances = self.instances.borrow_mut();
+            let idle = instances.values_mut().filter(|s| !s.idle.is_empty());
             idle.min_by_key(|s| s.idle[0].since).map(|s| s.idle.remove(0))
         };
         drop(oldest);
-        self.room.clone().acquire_owned().await.map_err(|_| NoConnection)
+        self.permits.clone().acquire_owned().await.map_err(|_| NoConnection)
     }
 
     /// Keeps a connection on which an exchange has ended whole.
     pub fn keep(&self, host: HostId, mut connection: Connection) {
-        let mut shelves = self.shelves.borrow_mut();
-        let Some(shelf) = shelves.get_mut(&host) else { return };
+        let mut instances = self.instances.borrow_mut();
+        let Some(instance) = instances.get_mut(&host) else { return };
         let now = Instant::now();
-        shelf.heard = Some(now);
-        let ready = shelf.site.as_ref().is_some_and(|site| site.ready);
-        if !connection.sender.is_closed() && ready && shelf.idle.len() < IDLE_MOST {
+        instance.heard = Some(now);
+        let ready = instance.site.as_ref().is_some_and(|site| site.ready);
+        if !connection.sender.is_closed() && ready && instance.idle.len() < IDLE_MOST {
             connection.since = now;
-            shelf.idle.push(connection);
+            instance.idle.push(connection);
         }
     }
 
     /// Closes the idle connections to a host.
     pub fn close_idle(&self, host: HostId) {
-        if let Some(shelf) = self.shelves.borrow_mut().get_mut(&host) {
-            shelf.idle.clear();
+        if let Some(instance) = self.instances.borrow_mut().get_mut(&host) {
+            instance.idle.clear();
         }
     }
 
     /// Forgets when the host was last heard: something there went silent, and its idle connections may be dead.
     pub fn distrust(&self, host: HostId) {
-        if let Some(shelf) = self.shelves.borrow_mut().get_mut(&host) {
-            shelf.idle.clear();
-            shelf.heard = None;
+        if let Some(instance) = self.instances.borrow_mut().get_mut(&host) {
+            instance.idle.clear();
+            instance.heard = None;
         }
     }
 
     /// Something at the host has been silent since then. Unless another exchange was heard meanwhile, its idle
     /// connections may be as dead.
     pub fn silent_since(&self, host: HostId, since: Instant) {
-        let heard = self.shelves.borrow().get(&host).and_then(|s| s.heard);
+        let heard = self.instances.borrow().get(&host).and_then(|s| s.heard);
         if heard.is_none_or(|at| at < since) {
             self.distrust(host);
         }
@@ -437,8 +437,8 @@
         loop {
             tokio::time::sleep(self.limits.idle / 8).await;
             self.trim();
-            for shelf in self.shelves.borrow_mut().values_mut() {
-                shelf.idle.retain(|c| c.since.elapsed() < self.limits.idle && !c.sender.is_closed());
+            for instance in self.instances.borrow_mut().values_mut() {
+                instance.idle.retain(|c| c.since.elapsed() < self.limits.idle && !c.sender.is_closed());
             }
         }
     }
--- a/src/peers/link.rs
+++ b/src/peers/link.rs
@@ -66,9 +66,9 @@
 pub async fn hear(
     listener: TcpListener, cluster: Rc<str>, me: Rc<str>, version: u16, news: mpsc::Sender<News>,
 ) {
-    let room = std::sync::Arc::new(Semaphore::new(HEARD_MOST));
+    let permits = std::sync::Arc::new(Semaphore::new(HEARD_MOST));
     loop {
-        let Ok(permit) = room.clone().acquire_owned().await else { return };
+        let Ok(permit) = permits.clone().acquire_owned().await else { return };
         let socket = match listener.accept().await {
             Ok((socket, _)) => socket,
             Err(fault) => {
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -391,13 +391,13 @@
     let names = [(Name(1), Some(held)), (Name(2), Some(held))].into();
     let reached = Some((7, [("b".to_owned(), (8, 9))].into()));
     let (disk, _) = disk(&path, "c").expect("a store");
-    let shelf = disk.shelf();
-    shelf.write(&Unsaved { items, names, reached: reached.clone() }).expect("it is kept");
-    let kept = shelf.load().expect("it is read");
+    let state = disk.state();
+    state.write(&Unsaved { items, names, reached: reached.clone() }).expect("it is kept");
+    let kept = state.load().expect("it is read");
     assert_eq!((kept.items.len(), kept.names.len(), &kept.reached), (2, 2, &reached));
     let gone = [(Name(2), None)].into();
-    shelf.write(&Unsaved { names: gone, ..Unsaved::default() }).expect("it is kept");
-    drop((disk, shelf));
+    state.write(&Unsaved { names: gone, ..Unsaved::default() }).expect("it is kept");
+    drop((disk, state));
     use redb::ReadableTable as _;
     // A bit of one item and of one name is turned, each behind its checksum.
     let database = redb::Database::open(&path).expect("the file");
@@ -416,7 +416,7 @@
     write.commit().expect("it is kept");
     drop(database);
     let (disk, _) = self::disk(&path, "c").expect("a store");
-    let kept = disk.shelf().load().expect("it is read");
+    let kept = disk.state().load().expect("it is read");
     assert_eq!(kept.items.iter().map(|(key, _)| key.clone()).collect::<Vec<_>>(), [Key::Return("w1".into())]);
     assert_eq!(kept.names.len(), 1, "a name that was given up is gone");
     assert_eq!((kept.names[0].0, kept.names[0].1.stage), (Name(1), Stage::MayHaveRun));
--- a/tests/player/mod.rs
+++ b/tests/player/mod.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 /// Far above any wait that is meant: only a test that fails comes to its end.
-const PATIENCE: Duration = Duration::from_secs(30);
+const TIMEOUT: Duration = Duration::from_secs(30);
 
 enum News {
     Opened(TcpStream),
@@ -75,7 +75,7 @@
 
     /// Takes in one piece of news; false when none came in time.
     fn hear(&mut self) -> bool {
-        self.news.recv_timeout(PATIENCE).is_ok_and(|news| {
+        self.news.recv_timeout(TIMEOUT).is_ok_and(|news| {
             self.take(news);
             true
         })
@@ -217,7 +217,7 @@
     /// Waits for a line of the log.
     pub fn logs(&mut self, part: &str) {
         while !self.seen.iter().any(|line| line.contains(part)) {
-            let line = self.log.recv_timeout(PATIENCE);
+            let line = self.log.recv_timeout(TIMEOUT);
             self.seen.push(line.unwrap_or_else(|_| panic!("no \"{part}\" in {:#?}", self.seen)));
         }
     }
--- a/tests/state_processes.rs
+++ b/tests/state_processes.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use hyper::Method;
-use rig::conductor::PATIENCE;
+use rig::conductor::TIMEOUT;
 use rig::fleet::{Fleet, Size};
 use rig::load::Load;
 use rig::replicate::{Named, ask_named, banned, decree, equal};
@@ -28,7 +28,7 @@
 /// Asks until the conductor says that it keeps it: while its disk flushes nothing it answers in time that it cannot say so yet.
 async fn ban(fleet: &Fleet, at: usize, instance: &str, out: bool) {
     let mut told = decree(fleet.conductors[at].place.operators, instance, out, fleet.clock).await;
-    let until = tokio::time::Instant::now() + PATIENCE;
+    let until = tokio::time::Instant::now() + TIMEOUT;
     while !told.kept && tokio::time::Instant::now() < until {
         assert!(
             told.ended - told.asked < 2_000_000,
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -14,7 +14,7 @@
 use player::{Program, address, platform, port, target};
 
 /// Far above any wait that is meant.
-const PATIENCE: Duration = Duration::from_secs(20);
+const TIMEOUT: Duration = Duration::from_secs(20);
 
 /// A client at work: how many of its requests were answered, and which were not.
 type Asking = std::thread::JoinHandle<(u32, Vec<String>)>;
@@ -144,7 +144,7 @@
     fn serves(&self, port: u32) {
         let begun = std::time::Instant::now();
         while !self.call(port, "GET", "/healthcheck").starts_with("HTTP/1.1 200") {
-            assert!(begun.elapsed() < PATIENCE, "never serves");
+            assert!(begun.elapsed() < TIMEOUT, "never serves");
         }
     }
 
@@ -206,7 +206,7 @@
             let kept = self.line.is_some();
             let line = self.line.take().or_else(|| {
                 let socket = TcpStream::connect(format!("{}:8081", self.base)).ok()?;
-                socket.set_read_timeout(Some(PATIENCE)).ok()?;
+                socket.set_read_timeout(Some(TIMEOUT)).ok()?;
                 Some(BufReader::new(socket))
             });
             let Some(mut line) = line else { return false };
