Let the rig's links listen at ports that the system gives to nobody

At fault: Link::to took a port from the range out of which the system serves everybody, left it in Link::refuse and wanted it back. Change: fixed ports below that range, one for each other conductor, at the fleet's own address.

--- a/rig/src/faults.rs
+++ b/rig/src/faults.rs
@@ -40,11 +40,11 @@
 }
 
 impl Link {
-    /// A link to this address, whole.
-    pub async fn to(target: SocketAddr, seed: u64) -> std::io::Result<Self> {
-        // Beside its target, where no connection's near end can take the port while the target is down.
-        let listener = TcpListener::bind((target.ip(), 0)).await?;
-        let address = listener.local_addr()?;
+    /// A link to this address, whole; it listens beside its target, at a port that the system gives to nobody by itself: it is
+    /// left while the target is down, and has to be free when that is back.
+    pub async fn to(target: SocketAddr, port: u16, seed: u64) -> std::io::Result<Self> {
+        let address = SocketAddr::new(target.ip(), port);
+        let listener = TcpListener::bind(address).await?;
         let faults = watch::Sender::new(Faults::default());
         let rng = Arc::new(Mutex::new(SmallRng::seed_from_u64(seed)));
         let link = Link { address, faults, accepting: Mutex::new(None), target, rng };
--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -57,6 +57,8 @@
     pub in_memory: bool,
 }
 
+/// Links to a conductor listen at its address from this port on, one for each other conductor.
+const LINK_PORTS: u16 = 9_000;
 /// Where files lie in memory.
 const MEMORY: &str = "/dev/shm";
 
@@ -164,7 +166,8 @@
         let mut links = BTreeMap::new();
         for from in (0..size.conductors).filter(|_| size.breakable && size.cluster) {
             for to in (0..size.conductors).filter(|&to| to != from) {
-                let link = Link::to(places[to].peers, seed ^ (from as u64) << 32 ^ to as u64).await?;
+                let port = LINK_PORTS + from as u16;
+                let link = Link::to(places[to].peers, port, seed ^ (from as u64) << 32 ^ to as u64).await?;
                 links.insert((from, to), link);
             }
         }
