Give a free reader's read less margin where conductors are few

At fault: Router::pair took each read 1.5 times where the reader had told nothing, also where it had nothing to read: long prompts counted as late and waited for the low tier, one at a time, beside free readers. Change: the margin grows from 0.8 to 1.5 with what others may read there: half a read of each other conductor for the part of readers at which this one reads; all of it behind own reads and above eight conductors (else tests/ramp.rs fails).

--- a/src/logic/attempts.rs
+++ b/src/logic/attempts.rs
@@ -82,8 +82,8 @@
         &mut self, now: Micros, id: RequestId, at: HostId,
         (outcome, last, kept, took): (Outcome, bool, f64, Micros), out: &mut Vec<Action>,
     ) {
-        let known = self.requests.get(&id).map(|r| (r.stage == Stage::Reading, r.begun));
-        let (was_read, begun) = known.unwrap_or((false, now));
+        let known = |r: &Request| (r.stage == Stage::Reading, r.begun);
+        let (was_read, begun) = self.requests.get(&id).map_or((false, now), known);
         let sent_at = self.hosts.get_mut(&at).and_then(|h| h.pending.remove(&id)).unwrap_or(begun);
         let waited = self.requests.get(&id).filter(|r| r.stage != Stage::Streaming);
         if let Some((unread, from_low, aim_at)) = waited.map(|r| (r.unread, r.from_low, r.aim_at)) {
@@ -140,11 +140,9 @@
                 }
             }
         }
+        let over = self.requests.get(&id).is_none_or(|r| now >= r.deadline);
         let repeats = outcome != Outcome::Read && !self.may_repeat(now, id);
-        if repeats
-            || !self.may_run_anywhere(now, id)
-            || now >= self.requests.get(&id).map_or(now, |r| r.deadline)
-        {
+        if over || repeats || !self.may_run_anywhere(now, id) {
             self.give_up(id, out);
         }
     }
--- a/src/logic/cold.rs
+++ b/src/logic/cold.rs
@@ -42,7 +42,6 @@
         of(&self.all.spent) + self.others.as_ref().map_or(0.0, |others| of(others))
     }
 
-    /// Own sends to hosts that do the same.
     fn own_sends(&self, host: &Host) -> Fading {
         if host.role == Role::Read { self.all.reads } else { self.all.writes }
     }
--- a/src/logic/mod.rs
+++ b/src/logic/mod.rs
@@ -6,8 +6,7 @@
 //! every stream there, has the writer memory for it, and can its first token come in time? If so the prompt
 //! goes to its reader, by hash of its beginning; else it waits unread. What cannot start in time drops to the
 //! low tier, sent untested while the high tier is empty and given up on, at once, when the client's deadline
-//! is out of reach. After the read the test is made again. The curve is fitted online for each kind of host;
-//! L counts all streams: the own, and others' by the memory that reports show held.
+//! is out of reach. After the read the test is made again. The curve is fitted online for each kind of host.
 
 mod admission;
 mod attempts;
--- a/src/logic/pairing.rs
+++ b/src/logic/pairing.rs
@@ -9,7 +9,7 @@
 const STAY_LEAST: f64 = 0.5; // part of the reading that a reader without writers near gets, at least
 const SPARE_LEAST: f64 = 0.05; // weight of a writer whose cell has none to spare, against an idle one
 const FAR_WEIGHT: f64 = 0.25; // chance of a writer in another zone against one in the same: a crossing costs
-const READ_MARGIN: (f64, f64) = (1.5, 0.8); // of a read's expected time, alone and where it told of others
+const READ_MARGIN: (f64, f64) = (0.8, 0.7); // of a read's expected time, and more behind unknown others
 const READY_WAIT: f64 = 0.4; // share of the pin limit after which a state goes to a writer untested...
 const READY_MOST: f64 = 0.8; // ...and after which it is let go
 
@@ -31,7 +31,12 @@
         if homes.iter().take(ASKED).any(|h| h.asked && now < h.probed_at + ASK_WAIT) {
             return None;
         }
-        let margin = |h: &Host| if h.crowd.is_some() { READ_MARGIN.1 } else { READ_MARGIN.0 };
+        // Others read at as many readers as this router does, if few, and are half through on average.
+        let busy = self.hosts.values().filter(|h| h.role == Role::Read && !h.pending.is_empty()).count();
+        let others = f64::from(self.set.routers.max(1) - 1) * 0.5 * busy as f64 / self.serving(true);
+        let free = |h: &Host| self.set.routers <= FEW_ROUTERS && self.reading(now, h) <= 0.0;
+        let blind = |h: &Host| if h.crowd.is_some() { 0.0 } else { READ_MARGIN.1 };
+        let margin = |h: &Host| READ_MARGIN.0 + blind(h) * if free(h) { others.min(1.0) } else { 1.0 };
         let paired = homes.iter().find_map(|at| {
             let ready_in = self.read_time(now, at, r) * margin(at);
             let pick =
@@ -78,13 +83,12 @@
         let once = r.by.classes[r.ask.class.0].effect == Effect::Unsafe;
         let fits = |h: &&Host| h.role != Role::Read && takes(h) && wanted(h);
         let drawn = |h: &Host| {
-            let headroom = self.headroom(now, r, h, ready_in, tested)?;
+            let left = self.headroom(now, r, h, ready_in, tested)?;
             // Emptier than most is no better: reports are late, and what fails at once looks empty.
             let most = if self.set.routers > FEW_ROUTERS { 1.0 - self.all.others } else { 1.0 };
-            let weight = headroom.min(most.max(SPARE_LEAST)).max(0.0).powf(CHOICE);
+            let weight = left.min(most.max(SPARE_LEAST)).max(0.0).powf(CHOICE);
             let weight = weight * zone_weight(r, h) * reader.map_or(1.0, |from| place(h, from));
-            let rank =
-                if headroom > 0.0 { weighted(h.id.0, self.salt ^ r.ask.id.0, weight) } else { headroom };
+            let rank = if left > 0.0 { weighted(h.id.0, self.salt ^ r.ask.id.0, weight) } else { left };
             Some((!(self.last(now, h) || once && self.idle_suspect(now, h)), rank, h.id))
         };
         let all: f64 = self.hosts.values().filter(fits).map(|h| h.warmth(now, &self.set.rules)).sum();
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -246,6 +246,28 @@
     assert_eq!(sent_to(&rig.step(0, &[Event::Request(long)])), None);
 }
 
+/// The time of a read is believed with a margin for what others may read there; a reader that has nothing to read needs none.
+#[test]
+fn a_long_prompt_is_tried_at_a_reader_with_nothing_to_read() {
+    let long = |id| {
+        let asked = NewRequest { prompt_tokens: 13_000.0, prefix: None, session: None, ..ask(id) };
+        Event::Request(NewRequest { prefix_tokens: 0.0, ..asked })
+    };
+    let went = |routers, readers: &[u32]| {
+        let members = readers.iter().map(|&h| member(h, 0)).chain([member(WRITER, 1)]).collect::<Vec<_>>();
+        let mut rig = Rig::new(Settings { routers, ..settings() }, &members);
+        let short = NewRequest { prefix: None, ..ask(1) };
+        let busy = sent_to(&rig.step(0, &[Event::Request(short)])).expect("all are free");
+        (busy, sent_to(&rig.step(0, &[long(2)])))
+    };
+    let mut alone = Rig::new(settings(), &[member(READER, 0), member(WRITER, 1)]);
+    assert_eq!(sent_to(&alone.step(0, &[long(1)])), Some(READER));
+    assert_eq!(went(1, &[1]).1, None, "behind another read it could come too late");
+    let (busy, free) = went(1, &[1, 2]);
+    assert_eq!(free, Some(3 - busy));
+    assert_eq!(went(8, &[1, 2]).1, None, "seven others read at half of the readers each");
+}
+
 #[test]
 fn writers_are_probed_while_there_are_requests_and_more_often_under_pressure() {
     let limits = Limits { probes: true, ..settings().limits };
