--- a/tests/descriptors.rs
+++ b/tests/descriptors.rs
@@ -181,17 +181,51 @@
     assert!(!log.contains("cannot accept"), "{log}");
 }
 
+/// A program with a reader and a writer, and what has begun at each.
+fn started(base: &str) -> (player::Program, [Arc<AtomicU32>; 2]) {
+    let begun = ["r1", "w1"].map(|name| instance(base, name));
+    let agent = Agent::default();
+    agent.comes_back(1, ["r1", "w1"].map(|name| player::target(base, name, "Ready")).join(","));
+    agent.listen(base);
+    let config = player::platform(base);
+    let mut program = player::Program::limited(base, FILES, &[("LB_CONFIG", &config)]);
+    program.logs("ready, with");
+    (program, begun)
+}
+
+/// Clients that use one id all at once, amid others that begin a head and stop: it runs once, each is answered, a neighbour is
+/// served.
+#[test]
+fn a_flood_of_one_id_and_of_half_heads_runs_it_once() {
+    let base = player::address();
+    let (program, begun) = started(&base);
+    let half = |_| {
+        let mut socket = TcpStream::connect(format!("{base}:8081")).ok()?;
+        socket.write_all(b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nRequest-Id: sa").ok()?;
+        Some(socket)
+    };
+    let heads: Vec<_> = (0..2 * FILES).filter_map(half).collect();
+    // Who finds no room comes again.
+    let same = |base: &str| (0..400).find_map(|_| ask(base, "same").filter(|status| *status != 429));
+    let client = |_| {
+        let base = base.clone();
+        std::thread::spawn(move || same(&base))
+    };
+    let clients: Vec<_> = (0..64).map(client).collect();
+    let told: Vec<_> = clients.into_iter().map(|client| client.join().expect("a client")).collect();
+    let count = |status| told.iter().filter(|told| **told == Some(status)).count();
+    assert_eq!((count(200), count(409)), (1, 63), "{told:?}");
+    assert_eq!(begun.each_ref().map(|begun| begun.load(Ordering::SeqCst)), [1, 1]);
+    ask_until(&base, "other", 200);
+    assert_eq!(same(&base), Some(409), "its end was forgotten");
+    drop(heads);
+    program.end();
+}
+
 #[test]
 fn a_process_without_descriptors_for_new_clients_says_so_once_and_serves_on() {
     let base = player::address();
-    let _begun = (instance(&base, "r1"), instance(&base, "w1"));
-    let list = ["r1", "w1"].map(|name| player::target(&base, name, "Ready")).join(",");
-    let agent = Agent::default();
-    agent.comes_back(1, list);
-    agent.listen(&base);
-    let config = player::platform(&base);
-    let mut program = player::Program::limited(&base, FILES, &[("LB_CONFIG", &config)]);
-    program.logs("ready, with");
+    let (mut program, _begun) = started(&base);
     let mut old = TcpStream::connect(format!("{base}:8081")).expect("it listens");
     let mut ready = |number: u32| {
         write!(old, "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").expect("it reads");
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -32,6 +32,7 @@
     left_behind_bytes
     left_while_reading
     left_while_streaming
+    long_line
     maintenance
     operator_calls
     operator_drain
@@ -40,6 +41,7 @@
     reload
     returning
     safe_broken_before
+    second_answer
     served
     sigterm
     silent_stream
