--- a/src/node/front/chat.rs
+++ b/src/node/front/chat.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use http_body_util::{Either, Full};
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::{Method, Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
@@ -293,8 +293,8 @@
         let shown = HeaderValue::from_str(&id).ok();
         let target = request.uri().path_and_query().cloned();
         let target = target.ok_or_else(|| Fault::Path(String::new()))?;
-        let content_type = Some(HeaderValue::from_static("application/json"));
-        let (streamed, payload) = (!ask.whole, Payload { id, target, content_type, body });
+        let headers = HeaderMap::from_iter([(CONTENT_TYPE, HeaderValue::from_static("application/json"))]);
+        let (streamed, payload) = (!ask.whole, Payload { id, target, headers, body });
         let answer = begin(&self.core, ask, (payload, permit), self.shutdown.pending());
         let given = answer.await;
         #[cfg(feature = "cluster")]
--- a/src/node/front/platform.rs
+++ b/src/node/front/platform.rs
@@ -23,6 +23,7 @@
 use crate::node::process::shutdown::Shutdown;
 use crate::node::request::Answer;
 use crate::node::upstream::attempt::Payload;
+use crate::node::upstream::headers::end_to_end;
 use crate::wire::Names;
 
 /// Ids remembered after their requests have ended, to turn repeats down: minutes of a busy conductor, in under half a megabyte.
@@ -31,6 +32,8 @@
 const ID_MOST: usize = 128;
 /// Longest time a client may ask for, in milliseconds.
 const TIMEOUT_MOST: u64 = 3_600_000;
+/// Longest guess at a stream's time that is believed, in microseconds.
+const WORK_HINT_MOST: f64 = TIMEOUT_MOST as f64 * 1_000.0;
 /// When a client that found no room should come back.
 const SHED_WAIT: Micros = 1_000_000;
 /// Tells by which revision of the policy an answer was decided, where conductors have one.
@@ -188,8 +191,7 @@
         let open = OpenId::take(&self.ids, &id).ok_or_else(|| Malformed::Duplicate(id.to_string()))?;
         ask.time_left -= arrived.elapsed().as_micros() as Micros + ON_THE_WAY;
         let target = request.uri().path_and_query().cloned().ok_or(Malformed::Path)?;
-        let content_type = request.headers().get(CONTENT_TYPE).cloned();
-        let payload = Payload { id, target, content_type, body };
+        let payload = Payload { id, target, headers: end_to_end(request.headers()), body };
         let answer = begin(&self.core, ask, (payload, permit), (open, self.shutdown.pending()));
         let (answer, revision) =
             answer.await.map_or((Answer::Failed, None), |given| (given.answer, given.revision));
@@ -252,6 +254,8 @@
         "prompt_len=N,max_out=N and, with an opening, prefix=ID,prefix_len=N",
     ))?;
     ask.session = text(headers, "Affinity-Key")?.map(|key| TextKey(xxh3_64(key.as_bytes())));
+    ask.tenant = tenant(headers, names)?;
+    ask.stream_hint = work_hint(headers)?;
     match text(headers, "Client-Retry")? {
         None => {}
         Some("again") => ask.resumed = true,
@@ -261,6 +265,23 @@
     Ok(ask)
 }
 
+/// The request's tenant. A name that the settings do not know has no share there, so it counts as no tenant.
+fn tenant(headers: &HeaderMap, names: &Names) -> Result<Option<TenantId>, Malformed> {
+    let name = text(headers, "Tenant")?;
+    Ok(name.and_then(|name| names.tenants.iter().position(|known| known == name)).map(TenantId))
+}
+
+/// The client's guess at the time that its stream takes, in microseconds; zero is no guess.
+fn work_hint(headers: &HeaderMap) -> Result<Option<Micros>, Malformed> {
+    let Some(hint) = text(headers, "Work-Hint")? else { return Ok(None) };
+    let hint: f64 = hint
+        .parse()
+        .ok()
+        .filter(|hint| (0.0..=WORK_HINT_MOST).contains(hint))
+        .ok_or(Malformed::Unfit("Work-Hint", "microseconds from 0 to 3600000000"))?;
+    Ok(Some(hint as Micros).filter(|&hint| hint > 0))
+}
+
 fn info(text: &str, ask: &mut NewRequest) -> Option<()> {
     let (mut prompt, mut most) = (None, None);
     for pair in text.split(',') {
--- a/src/node/upstream/attempt.rs
+++ b/src/node/upstream/attempt.rs
@@ -5,12 +5,13 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
-use hyper::header::{CONTENT_TYPE, HOST, HeaderMap, HeaderValue};
+use hyper::header::{HOST, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use serde::Deserialize;
 use tokio::time::{Instant, timeout, timeout_at};
 
 use super::events::Events;
+use super::headers::{REQUEST_ID, REQUEST_TIMEOUT};
 use super::pool::{Connection, Gate, HeldBack, Pool, WriteMark};
 use crate::api::{HostId, Load, Micros, Outcome, Role};
 use crate::node::counters::{Counters, add};
@@ -37,8 +38,8 @@
     pub id: Rc<str>,
     /// Path and query.
     pub target: hyper::http::uri::PathAndQuery,
-    /// What the body says it is.
-    pub content_type: Option<HeaderValue>,
+    /// The headers that go on as they came.
+    pub headers: HeaderMap,
     /// The body.
     pub body: Bytes,
 }
@@ -234,13 +235,12 @@
             headers.extend(extra.clone());
         }
         self.host_header(host, headers);
-        let mut put = |name: &'static str, value: Option<HeaderValue>| {
-            value.map(|value| headers.insert(name, value));
-        };
-        put("request-id", HeaderValue::from_str(&payload.id).ok());
-        put(CONTENT_TYPE.as_str(), payload.content_type.clone());
+        if let Ok(id) = HeaderValue::from_str(&payload.id) {
+            headers.insert(REQUEST_ID, id);
+        }
+        headers.extend(payload.headers.clone());
         let left = until.saturating_duration_since(Instant::now()).as_millis() as u64;
-        put("request-timeout-ms", Some(left.max(1).into()));
+        headers.insert(REQUEST_TIMEOUT, left.max(1).into());
     }
 
     fn host_header(&self, host: HostId, headers: &mut HeaderMap) {
--- a/src/node/upstream/mod.rs
+++ b/src/node/upstream/mod.rs
@@ -1,8 +1,9 @@
 //! Ways to instances: [`attempt`] plays one exchange over a connection of the [`pool`], [`relay`] passes the stream's
-//! [`events`] on, [`release`] lets go of what is held.
+//! [`events`] on, [`release`] lets go of what is held, [`headers`] tells which of a client's headers go on.
 
 pub mod attempt;
 pub mod events;
+pub mod headers;
 pub mod pool;
 pub mod relay;
 pub mod release;
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -27,6 +27,7 @@
     deadline_unsafe
     discovery
     drain
+    end_to_end
     intake
     left_after_sigterm
     left_behind_bytes
--- a/tests/lists.rs
+++ b/tests/lists.rs
@@ -23,6 +23,7 @@
 use croftsill::node::upstream::pool::{Gate, Pool, PoolLimits, Site};
 use croftsill::node::{Clock, Core};
 use croftsill::wire::{Names, settings_from};
+use hyper::HeaderMap;
 use proptest::prelude::*;
 use proptest::test_runner::{RngAlgorithm, TestRng, TestRunner};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -256,7 +257,7 @@
     Payload {
         id: "0a".into(),
         target: "/v1/chat/completions".parse().expect("a path"),
-        content_type: None,
+        headers: HeaderMap::new(),
         body: Bytes::from_static(b"{}"),
     }
 }
