Pay what is owed when something ends: queue, last answers, kept connections, time

Seen on a review of every path that ends something (docs/ENDINGS.md), each forced in a test: - Shutdown::run counted connections only up to their last answer, so the process ended while they were still read (`drop((served, pending))` before `leave` in front/mod.rs) and while clients waited in the system's queue; operators' calls were not counted. Bytes of a client that came then made a reset of the close. - `made_room` in front/mod.rs returned at once, which drops the socket over unread bytes; Pieces::drop called a line idle, so fit to be dropped, before its last bytes were written. - Upstream::call used a kept connection without the second try that requests have: a probe or release that met its close was lost, and the instance came last for 0.1 s for each conductor. - attempt_at chose by chance between an answer and the overdue timer, and said nothing to the client then; what had never been sent was answered as failed. An attempt whose time was over began and told its instance 1 ms. - Pieces::whole collected an answer without end.

Ruled out, as they hold already and are now shown: a request and SIGTERM in one moment, half a head or body, a client that goes as it sends or as its prompt is read, an instance's reset behind the last bytes, a list and the end of its watch, two signals.

Change: connections are pending through `leave` (0.5 s at most at the end), the listener until its queue is empty, calls of operators until answered; who makes room leaves in order and is closed at the next look; Stage::Flushing; one `send` for requests, probes and releases (upstream/attempt.rs); the check before the first byte stands in upstream/socket.rs and knows the time.

--- a/src/main.rs
+++ b/src/main.rs
@@ -20,7 +20,7 @@
 use croftsill::node::front::intake::Intake;
 use croftsill::node::front::operator::{self, Operator};
 use croftsill::node::front::platform::PlatformFront;
-use croftsill::node::front::serve;
+use croftsill::node::front::{BACKLOG, serve};
 use croftsill::node::list::discovery::Directory;
 use croftsill::node::list::fleet::Fleet;
 use croftsill::node::list::membership::Membership;
@@ -45,9 +45,6 @@
 use tokio::sync::watch;
 use tokio::task::{LocalSet, spawn_local};
 
-/// Clients that may wait in the system's queue.
-const BACKLOG: u32 = 1_024;
-
 #[derive(Debug, thiserror::Error)]
 enum StartError {
     #[error("{0}")]
--- a/src/node/front/intake.rs
+++ b/src/node/front/intake.rs
@@ -42,9 +42,13 @@
 const SILENT_LEAST: Duration = Duration::from_millis(250);
 /// For one that has begun a request, since it last sent a part of it.
 const BEGUN_LEAST: Duration = Duration::from_millis(1_000);
+/// For one whose client does not read the end of its answer.
+const FLUSH_LEAST: Duration = Duration::from_millis(1_000);
 /// How long a connection is still read after its last answer: closed over unread bytes, it would be reset and the
 /// answer lost.
 const LINGER: Duration = Duration::from_secs(2);
+/// The same while the process ends, which waits for it.
+const LINGER_AT_END: Duration = Duration::from_millis(500);
 /// Between reads of what nobody wants, so that it does not use up the core.
 const LINGER_PAUSE: Duration = Duration::from_millis(1);
 /// Read at once of what nobody wants.
@@ -67,6 +71,8 @@
     Begun,
     /// The head is there, and its body not yet whole.
     Arriving,
+    /// Its answer is complete, and bytes of it are still to be written.
+    Flushing,
     /// A request is open.
     Open,
 }
@@ -141,7 +147,7 @@
             // A first request has had its time since the connection came up.
             if self.stage.get() == Stage::Silent {
                 self.stage.set(Stage::Begun);
-            } else if self.stage.get() == Stage::Idle {
+            } else if matches!(self.stage.get(), Stage::Idle | Stage::Flushing) {
                 self.turn(Stage::Begun);
             }
         }
@@ -180,6 +186,7 @@
             Stage::Leaving | Stage::Idle => Duration::ZERO,
             Stage::Silent => SILENT_LEAST,
             Stage::Begun | Stage::Arriving => BEGUN_LEAST,
+            Stage::Flushing => FLUSH_LEAST,
             Stage::Open => return false,
         };
         self.quiet_since().elapsed() >= least
@@ -229,9 +236,16 @@
         framed == Framed::Length(self.behind.replace(0)) && self.unfit.get() < UNFIT_MOST
     }
 
-    /// Its answer is out.
-    pub fn idle(&self) {
+    /// Its answer is complete; it is idle once that is written.
+    pub fn complete(&self) {
         if self.stage.get() == Stage::Open {
+            self.turn(Stage::Flushing);
+        }
+    }
+
+    /// All that there was to write is with the system.
+    fn flushed(&self) {
+        if self.stage.get() == Stage::Flushing {
             self.turn(Stage::Idle);
         }
     }
@@ -294,8 +308,9 @@
         }
     }
 
-    /// Ends the sending side and reads on for a while, until the client closes or others need the room.
-    pub async fn leave(mut self) {
+    /// Ends the sending side and reads on for a while, until the client closes or others need the room; shorter where the
+    /// process ends.
+    pub async fn leave(mut self, ending: bool) {
         let line = self.line.clone();
         line.turn(Stage::Leaving);
         let last = async {
@@ -305,7 +320,7 @@
             }
         };
         tokio::select! {
-            _ = timeout(LINGER, last) => {}
+            _ = timeout(if ending { LINGER_AT_END } else { LINGER }, last) => {}
             () = line.made_room() => {}
         }
     }
@@ -344,7 +359,9 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.io.borrow_mut()).poll_flush(cx)
+        ready!(Pin::new(&mut *self.io.borrow_mut()).poll_flush(cx))?;
+        self.line.flushed();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -478,9 +495,13 @@
         let lines = self.lines.borrow();
         let may_go = lines.values().filter(|line| line.may_go());
         if let Some(line) = may_go.min_by_key(|line| (line.stage(), line.quiet_since())) {
-            let begun = matches!(line.stage(), Stage::Begun | Stage::Arriving);
-            add(if begun { &self.counters.evicted_begun } else { &self.counters.evicted });
-            // Not to be chosen again.
+            match line.stage() {
+                // Counted when it was told to go.
+                Stage::Leaving => {}
+                Stage::Begun | Stage::Arriving => add(&self.counters.evicted_begun),
+                _ => add(&self.counters.evicted),
+            }
+            // Not to be chosen again before its task has taken the step.
             line.body.set(0);
             line.turn(Stage::Open);
             line.making_room.notify_one();
--- a/src/node/front/intake/tests.rs
+++ b/src/node/front/intake/tests.rs
@@ -70,3 +70,26 @@
         assert_eq!(intake.most.get(), most);
     }
 }
+
+/// A connection whose answer is complete makes room only once that is written, or its client has not read it for a while.
+#[test]
+fn an_answer_that_is_still_written_is_not_cut_off_to_make_room() {
+    let intake = intake();
+    let writing = line(&intake, Stage::Open, 0, 0);
+    writing.line.complete();
+    assert_eq!(goes(&[&writing], &intake), None);
+    writing.line.flushed();
+    assert_eq!(goes(&[&writing], &intake), Some(0));
+    let unread = line(&intake, Stage::Flushing, 1_100, 1_100);
+    assert_eq!(goes(&[&unread], &intake), Some(0));
+}
+
+/// One that was told to go is counted once, and closed at once where room is still wanted.
+#[test]
+fn a_connection_that_leaves_is_the_first_to_make_room_and_is_counted_once() {
+    let intake = intake();
+    let leaving = line(&intake, Stage::Leaving, 0, 0);
+    let silent = line(&intake, Stage::Silent, 1_000, 1_000);
+    assert_eq!(goes(&[&silent, &leaving], &intake), Some(1));
+    assert_eq!(intake.counters.evicted.get(), 0);
+}
--- a/src/node/front/mod.rs
+++ b/src/node/front/mod.rs
@@ -42,6 +42,11 @@
 /// be closed, and one that says nothing is owed a close within 3 s.
 const HEAD_TIME: Duration = Duration::from_millis(2_100);
 
+/// Largest answer that is kept back until it is whole.
+const WHOLE_MOST: usize = 4 * 1024 * 1024;
+/// Clients' connections that may wait in the system's queue, as a flood of them.
+pub const BACKLOG: u32 = 1_024;
+
 /// A front's answer: whole, or a stream.
 pub type Reply = Response<Either<Full<Bytes>, Pieces>>;
 
@@ -57,11 +62,14 @@
         Pieces { pieces, line: None }
     }
 
-    /// The whole of it in one piece.
+    /// The whole of it in one piece; one that goes on and on is spoilt.
     pub async fn whole(mut self) -> Result<Bytes, StreamBroken> {
         let mut text = BytesMut::new();
         while let Some(piece) = self.pieces.recv().await {
             text.extend_from_slice(&piece?);
+            if text.len() > WHOLE_MOST {
+                return Err(StreamBroken::Spoilt);
+            }
         }
         Ok(text.freeze())
     }
@@ -69,7 +77,7 @@
 
 impl Drop for Pieces {
     fn drop(&mut self) {
-        self.line.iter().for_each(|line| line.idle());
+        self.line.iter().for_each(|line| line.complete());
     }
 }
 
@@ -142,10 +150,14 @@
         shutdown.once(Readiness::ending).await;
         tokio::time::sleep(STILL_ARRIVING).await;
     });
+    // The process does not end before those are taken who wait in the queue.
+    let _listening = shutdown.pending();
     let mut closed = false;
+    let mut queued = BACKLOG;
     loop {
         let socket = if closed {
-            let Some(socket) = waiting_client(&listener).await else { return };
+            queued -= 1;
+            let Some(socket) = waiting_client(&listener).await.filter(|_| queued > 0) else { return };
             socket
         } else {
             tokio::select! {
@@ -207,7 +219,7 @@
         reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     match reply.body_mut() {
-        Either::Left(_) => line.idle(),
+        Either::Left(_) => line.complete(),
         Either::Right(pieces) => pieces.line = Some(line),
     }
     Ok(reply)
@@ -248,7 +260,7 @@
         tokio::select! {
             biased;
             // First: a request that crosses this must not be begun and then dropped.
-            () = place.line.made_room(), if !ends => return,
+            () = place.line.made_room(), if !ends => break Err("it makes room for others".to_owned()),
             ended = &mut served => break ended.map_err(|fault| fault.to_string()),
             () = &mut gone => break Err("the client has gone".to_owned()),
             () = &mut ending, if !ends => {
@@ -260,7 +272,11 @@
     if let Err(fault) = ended {
         tracing::debug!("intake: connection ended: {fault}");
     }
-    drop((served, pending));
-    last.leave().await;
-    drop(place);
+    drop(served);
+    // The process does not end over bytes that are unread: what was written last would go with the reset.
+    last.leave(shutdown.readiness().ending()).await;
+    drop((place, pending));
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/node/front/operator.rs
+++ b/src/node/front/operator.rs
@@ -350,6 +350,8 @@
         slots.vacancy().await;
         let (number, caller) = slots.enter();
         let (slots, operator) = (slots.clone(), operator.clone());
+        // A call that has come is answered before the process ends.
+        let pending = operator.shutdown.pending();
         spawn_local(async move {
             tokio::select! {
                 biased;
@@ -360,6 +362,7 @@
                 add(&operator.fleet.core().counters.calls_unfinished);
             }
             slots.leave(number);
+            drop(pending);
         });
     }
 }
--- a/src/node/process/shutdown.rs
+++ b/src/node/process/shutdown.rs
@@ -82,13 +82,19 @@
             _ = term.recv() => {}
             _ = int.recv() => {}
         }
-        tracing::info!("shutdown: begun, {} connections and requests open", self.open.count.get());
+        self.finish().await;
+        Ok(())
+    }
+
+    /// Ends: takes what still arrives, and waits until all is finished.
+    pub async fn finish(&self) {
+        tracing::info!("shutdown: begun, {} listeners, connections and requests open", self.open.count.get());
         self.note(Happening::End);
         tokio::time::sleep(STILL_ARRIVING).await;
         loop {
             let none = self.open.none.notified();
             if self.open.count.get() == 0 {
-                return Ok(());
+                return;
             }
             none.await;
         }
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -10,7 +10,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep_until, timeout};
 
-use super::counters::add;
+use super::counters::{Counters, add};
 use super::door::{TurnedAway, time_left};
 use super::planner::{End, Order, RequestHandle};
 use super::{Core, span};
@@ -106,6 +106,13 @@
         .await;
     }
 
+    /// Gives a final answer of the conductor's own, and counts what became of the request.
+    fn finish(&mut self, answer: Answer, counters: &Counters) {
+        let told =
+            if matches!(answer, Answer::Refused { .. }) { &counters.refused } else { &counters.failed };
+        add(if self.answer(answer) { told } else { &counters.left });
+    }
+
     /// Gives the final answer, once; false when the client has left.
     fn answer(&mut self, answer: Answer) -> bool {
         let Some(way) = self.way.borrow_mut().take() else { return false };
@@ -179,8 +186,7 @@
         }
         Ok(None) => {}
         Err(TurnedAway(come_back)) => {
-            let told = caller.answer(Answer::Refused { come_back: Some(come_back) });
-            return add(if told { &core.counters.refused } else { &core.counters.left });
+            return caller.finish(Answer::Refused { come_back: Some(come_back) }, &core.counters);
         }
     }
     let deadline = Instant::now() + span(ask.time_left);
@@ -200,17 +206,13 @@
             Next::Order(Order::Send(host, time_out)) => (host, time_out),
             Next::Order(Order::Refuse(come_back)) => {
                 if !over {
-                    add(if caller.answer(Answer::Refused { come_back }) {
-                        &counters.refused
-                    } else {
-                        &counters.left
-                    });
+                    caller.finish(Answer::Refused { come_back }, &counters);
                 }
                 break;
             }
             Next::Order(Order::Fail) => {
                 if !over {
-                    add(if caller.answer(Answer::Failed) { &counters.failed } else { &counters.left });
+                    caller.finish(Answer::Failed, &counters);
                 }
                 break;
             }
@@ -228,7 +230,8 @@
             Next::Overdue => {
                 tracing::error!("request {}: no decision by its deadline", payload.id);
                 add(&counters.overdue);
-                caller.answer(Answer::Failed);
+                // What was never sent on may be asked again: this process did not run for a while, as a rule.
+                caller.answer(if sent == 0 { Answer::Refused { come_back: None } } else { Answer::Failed });
                 (over, _) = (true, handle.left());
                 continue;
             }
@@ -339,28 +342,38 @@
     tokio::pin!(first);
     loop {
         tokio::select! {
+            // What has come is taken before an end that came in the same moment is judged.
+            biased;
             done = &mut first => return done,
             next = next(handle, caller, overdue, *over) => match next {
                 Next::Order(Order::Cancel(which)) if which == attempt => return withdrawn,
-                Next::Order(order @ (Order::Refuse(_) | Order::Fail)) => {
-                    // The planner has ended it while an attempt is out: answer, and give the attempt up.
-                    let answer = match order {
-                        Order::Refuse(come_back) => Answer::Refused { come_back },
-                        _ => Answer::Failed,
-                    };
-                    let refused = matches!(answer, Answer::Refused { .. });
-                    if !*over && caller.answer(answer) {
-                        add(if refused { &core.counters.refused } else { &core.counters.failed });
+                // The planner has ended it while an attempt is out: answer, and give the attempt up.
+                Next::Order(Order::Refuse(come_back)) => {
+                    if !*over {
+                        caller.finish(Answer::Refused { come_back }, &core.counters);
+                    }
+                    *over = true;
+                    return withdrawn;
+                }
+                Next::Order(Order::Fail) => {
+                    if !*over {
+                        caller.finish(Answer::Failed, &core.counters);
                     }
                     *over = true;
                     return withdrawn;
                 }
                 Next::Order(_) => {}
-                Next::ClientLeft | Next::Overdue => {
+                Next::ClientLeft => {
                     add(&core.counters.left);
                     *over = true;
                     handle.left();
                 }
+                Next::Overdue => {
+                    add(&core.counters.overdue);
+                    caller.answer(Answer::Failed);
+                    *over = true;
+                    handle.left();
+                }
             },
         }
     }
--- a/src/node/upstream/attempt.rs
+++ b/src/node/upstream/attempt.rs
@@ -5,20 +5,27 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
 use hyper::header::{HOST, HeaderMap, HeaderValue};
+use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Request, Response, StatusCode};
 use serde::Deserialize;
 use tokio::time::{Instant, timeout, timeout_at};
 
 use super::events::Events;
 use super::headers::{REQUEST_ID, REQUEST_TIMEOUT};
-use super::pool::{Connection, Gate, HeldBack, Pool, WriteMark};
+use super::pool::{Connection, Pool};
+use super::socket::{HeldBack, Outgoing, SendCheck, WriteMark};
 use crate::api::{HostId, Load, Micros, Outcome, Role};
 use crate::node::counters::{Counters, add};
 use crate::node::request::Wanted;
 
 /// Most of an answer without a stream that is read.
 const ANSWER_MOST: usize = 256 * 1024;
+/// Where an instance tells its load.
+const LOAD: &str = "/-/load";
+/// Where it lets go of what is held for a request, by the request's id.
+const LEASES: &str = "/kv/leases";
 /// For a probe's answer.
 const PROBE: Duration = Duration::from_millis(250);
 
@@ -37,7 +44,7 @@
     /// The id that instances know the request by.
     pub id: Rc<str>,
     /// Path and query.
-    pub target: hyper::http::uri::PathAndQuery,
+    pub target: PathAndQuery,
     /// The headers that go on as they came.
     pub headers: HeaderMap,
     /// The body.
@@ -54,6 +61,18 @@
     Ended(Outcome),
 }
 
+/// Why a request got no answer.
+enum Unanswered {
+    /// It was stopped before its first byte.
+    HeldBack(HeldBack),
+    /// There was no connection, or it ended before the last byte was written: the request never ran.
+    NeverWritten,
+    /// What came back was not HTTP.
+    Unreadable,
+    /// The connection ended behind the last byte; the request may have run.
+    Lost,
+}
+
 /// One fleet's instances and how to talk to them.
 pub struct Upstream {
     pool: Rc<Pool>,
@@ -139,8 +158,12 @@
     pub async fn first(
         self: &Rc<Self>, host: HostId, payload: &Payload, until: Instant, wanted: Wanted,
     ) -> (First, Option<Load>) {
-        add(&self.counters.attempts);
         let (begun, mut written) = (Instant::now(), None);
+        if begun >= until {
+            // This process did not run for a while; nothing is said against the host.
+            return (First::Ended(Outcome::Moot), None);
+        }
+        add(&self.counters.attempts);
         match timeout_at(until, self.exchange(host, payload, (until, wanted), &mut written)).await {
             Ok((First::Ended(outcome), load)) => {
                 if matches!(outcome, Outcome::Unreachable | Outcome::Broken) {
@@ -162,38 +185,21 @@
         written: &mut Option<WriteMark>,
     ) -> (First, Option<Load>) {
         let ended = |outcome| (First::Ended(outcome), None);
-        let (connection, response) = loop {
-            *written = None;
-            let Ok(mut connection) = self.pool.connection(host).await else {
-                return ended(Outcome::Unreachable);
-            };
-            let (body, mark) = connection.body(payload.body.clone(), Gate::New(Some(wanted.clone())));
-            *written = Some(mark.clone());
-            let mut request = Request::new(body);
-            self.head(host, payload, until, &mut request);
-            match connection.sender().try_send_request(request).await {
-                Ok(response) => break (connection, response),
-                // The library gives back a request of which it has written nothing; only then, and only for a
-                // kept connection that had just closed, is another one used. Nothing is ever sent twice.
-                Err(mut fault) => {
-                    let untouched = fault.take_message().is_some() && !mark.written();
-                    if let Some(why) = mark.held_back() {
-                        add(&self.counters.held_back);
-                        tracing::info!("host {}: not sent, {why}", host.0);
-                        return ended(match why {
-                            HeldBack::ClientGone => Outcome::Moot,
-                            HeldBack::Drains => Outcome::Unreachable,
-                        });
-                    }
-                    if !untouched || connection.fresh() {
-                        return ended(match (mark.written(), fault.error().is_parse()) {
-                            (false, _) => Outcome::Unreachable,
-                            (true, true) => Outcome::Spoilt,
-                            (true, false) => Outcome::Broken,
-                        });
-                    }
-                }
+        let check = SendCheck::Attempt { wanted, until };
+        let fill = |request: &mut Request<Outgoing>| self.head(host, payload, until, request);
+        let (connection, response) = match self.send(host, &payload.body, check, fill, written).await {
+            Ok(answered) => answered,
+            Err(Unanswered::HeldBack(why)) => {
+                add(&self.counters.held_back);
+                tracing::info!("host {}: not sent, {why}", host.0);
+                return ended(match why {
+                    HeldBack::ClientGone | HeldBack::TooLate => Outcome::Moot,
+                    HeldBack::Drains => Outcome::Unreachable,
+                });
             }
+            Err(Unanswered::NeverWritten) => return ended(Outcome::Unreachable),
+            Err(Unanswered::Unreadable) => return ended(Outcome::Spoilt),
+            Err(Unanswered::Lost) => return ended(Outcome::Broken),
         };
         let (head, body) = response.into_parts();
         let report = head.headers.get("server-load").and_then(|v| load(v.as_bytes()));
@@ -220,6 +226,38 @@
         }
     }
 
+    /// Sends a request that `fill` completes, on a kept connection if there is one, and waits for the head of its answer. The
+    /// library gives back a request of which it has written nothing; only then, and only where a kept connection had just
+    /// closed, is another one used. Nothing is ever sent twice.
+    async fn send(
+        &self, host: HostId, data: &Bytes, check: SendCheck, fill: impl Fn(&mut Request<Outgoing>),
+        written: &mut Option<WriteMark>,
+    ) -> Result<(Connection, Response<Incoming>), Unanswered> {
+        loop {
+            *written = None;
+            let mut connection = self.pool.connection(host).await.map_err(|_| Unanswered::NeverWritten)?;
+            let (body, mark) = connection.body(data.clone(), check.clone());
+            *written = Some(mark.clone());
+            let mut request = Request::new(body);
+            fill(&mut request);
+            let mut fault = match connection.sender().try_send_request(request).await {
+                Ok(response) => return Ok((connection, response)),
+                Err(fault) => fault,
+            };
+            if let Some(why) = mark.held_back() {
+                return Err(Unanswered::HeldBack(why));
+            }
+            let untouched = fault.take_message().is_some() && !mark.written();
+            if !untouched || connection.fresh() {
+                return Err(match (mark.written(), fault.error().is_parse()) {
+                    (false, _) => Unanswered::NeverWritten,
+                    (true, true) => Unanswered::Unreadable,
+                    (true, false) => Unanswered::Lost,
+                });
+            }
+        }
+    }
+
     /// A public server's word on the request itself, such as a field that it does not take, is the client's
     /// answer: another server would say the same.
     fn is_answer(&self, status: StatusCode) -> bool {
@@ -250,13 +288,14 @@
 
     /// A call without a body: its answer with the body read, while an answer of any kind came.
     async fn call(
-        &self, host: HostId, mut connection: Connection, method: Method, path: &str,
+        &self, host: HostId, check: SendCheck, method: Method, path: PathAndQuery,
     ) -> Option<Response<Bytes>> {
-        let gate = if method == Method::DELETE { Gate::Passed } else { Gate::New(None) };
-        let (body, _) = connection.body(Bytes::new(), gate);
-        let mut request = Request::builder().method(method).uri(path).body(body).ok()?;
-        self.host_header(host, request.headers_mut());
-        let response = connection.sender().try_send_request(request).await.ok()?;
+        let fill = |request: &mut Request<Outgoing>| {
+            *request.method_mut() = method.clone();
+            *request.uri_mut() = path.clone().into();
+            self.host_header(host, request.headers_mut());
+        };
+        let (connection, response) = self.send(host, &Bytes::new(), check, fill, &mut None).await.ok()?;
         let (head, body) = response.into_parts();
         let body = Limited::new(body, ANSWER_MOST).collect().await.ok()?.to_bytes();
         self.pool.keep(host, connection);
@@ -265,19 +304,16 @@
 
     /// Lets go of all that is held for the request, by way of one host; whether that host took the call.
     pub async fn release_at(&self, host: HostId, id: &str) -> bool {
+        let Ok(path) = PathAndQuery::try_from(format!("{LEASES}/{id}")) else { return false };
         // Nothing new: also what drains lets go.
-        let Ok(connection) = self.pool.connection(host).await else { return false };
-        let answer = self.call(host, connection, Method::DELETE, &format!("/kv/leases/{id}")).await;
+        let answer = self.call(host, SendCheck::Passed, Method::DELETE, path).await;
         answer.is_some_and(|a| a.status().is_success())
     }
 
     /// Asks a host how it is.
     pub async fn probe(&self, host: HostId) -> (Outcome, Option<Load>) {
         add(&self.counters.probes);
-        let asked = async {
-            let connection = self.pool.connection(host).await.ok()?;
-            self.call(host, connection, Method::GET, "/-/load").await
-        };
+        let asked = self.call(host, SendCheck::Probe, Method::GET, PathAndQuery::from_static(LOAD));
         match timeout(PROBE, asked).await {
             Ok(Some(answer)) if answer.status() == StatusCode::OK => (Outcome::Served, load(answer.body())),
             Ok(Some(_)) => (Outcome::Error, None),
--- a/src/node/upstream/mod.rs
+++ b/src/node/upstream/mod.rs
@@ -1,5 +1,6 @@
 //! Ways to instances: [`attempt`] plays one exchange over a connection of the [`pool`], [`relay`] passes the stream's
-//! [`events`] on, [`release`] lets go of what is held, [`headers`] tells which of a client's headers go on.
+//! [`events`] on, [`release`] lets go of what is held, [`headers`] tells which of a client's
+//! headers go on, [`socket`] checks a request before its first byte.
 
 pub mod attempt;
 pub mod events;
@@ -7,3 +8,4 @@
 pub mod pool;
 pub mod relay;
 pub mod release;
+pub mod socket;
--- a/src/node/upstream/pool.rs
+++ b/src/node/upstream/pool.rs
@@ -2,29 +2,23 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::convert::Infallible;
-use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::body::{Body, Frame, SizeHint};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
 
+use super::socket::{CheckedSocket, Outgoing, RequestSlot, SendCheck, WriteMark};
 use crate::api::{HostId, Role};
 use crate::node::counters::{Counters, add};
 use crate::node::front::intake::shared;
-use crate::node::request::Wanted;
 
 /// Longest that a connection stands idle before it is closed, whatever the settings say: machines have been seen to
 /// close theirs after 4 s where the settings say 30, and a request that crosses the close ends as a reset.
@@ -74,147 +68,10 @@
     heard: Option<Instant>,
 }
 
-/// How far a request has been written.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-enum Written {
-    #[default]
-    No,
-    /// The last byte was handed to the connection's buffer.
-    Handed,
-    /// The buffer with the last byte was flushed to the socket.
-    Yes,
-    /// The look before the first byte stopped it.
-    Stopped(HeldBack),
-}
-
-/// Why a request that had been decided on did not begin.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum HeldBack {
-    /// Its instance drains or is gone.
-    #[error("it drains or is gone since it was chosen")]
-    Drains,
-    /// Its client has gone.
-    #[error("the client has gone")]
-    ClientGone,
-}
-
-/// Tells whether a request's last byte has been written to the socket.
-#[derive(Clone, Default)]
-pub struct WriteMark(Rc<Cell<Written>>);
-
-impl WriteMark {
-    /// Whether the last byte was written.
-    pub fn written(&self) -> bool {
-        self.0.get() == Written::Yes
-    }
-
-    /// Why not a byte of it was written, where the look before the first one stopped it.
-    pub fn held_back(&self) -> Option<HeldBack> {
-        if let Written::Stopped(why) = self.0.get() { Some(why) } else { None }
-    }
-}
-
-/// A request body in one piece that marks when it has been handed over.
-pub struct Outgoing {
-    data: Option<Bytes>,
-    mark: WriteMark,
-}
-
-impl Body for Outgoing {
-    type Data = Bytes;
-    type Error = Infallible;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>, _: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        self.mark.0.set(Written::Handed);
-        Poll::Ready(self.data.take().map(|data| Ok(Frame::data(data))))
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.data.is_none()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        SizeHint::with_exact(self.data.as_ref().map_or(0, |d| d.len() as u64))
-    }
-}
-
-/// What stands before the first byte of a request.
-#[derive(Clone, Default)]
-pub enum Gate {
-    /// New work: only while the instance may be sent any, and for a request only while its client waits.
-    New(Option<Wanted>),
-    /// Nothing: the request has begun, or it lets go of what is held.
-    #[default]
-    Passed,
-}
-
-/// A socket that notes when a handed-over body has left the library's buffer: hyper flushes the socket only
-/// once its own buffer is empty. An attempt whose last byte was never written is known never to have run. Directly before
-/// the first byte it looks whether the instance drains by now.
-struct Watched {
-    socket: TcpStream,
-    mark: WriteMark,
-    gate: Rc<RefCell<Gate>>,
-    open: Rc<Cell<bool>>,
-}
-
-impl Watched {
-    fn pass(&self) -> io::Result<()> {
-        let why = match self.gate.take() {
-            Gate::New(_) if !self.open.get() => HeldBack::Drains,
-            Gate::New(Some(wanted)) if !wanted.holds() => HeldBack::ClientGone,
-            _ => return Ok(()),
-        };
-        self.mark.0.set(Written::Stopped(why));
-        Err(io::Error::other(why))
-    }
-}
-
-impl AsyncRead for Watched {
-    fn poll_read(
-        mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_read(cx, buf)
-    }
-}
-
-impl AsyncWrite for Watched {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
-        self.pass()?;
-        Pin::new(&mut self.socket).poll_write(cx, data)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        self.pass()?;
-        Pin::new(&mut self.socket).poll_write_vectored(cx, data)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.socket.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let flushed = Pin::new(&mut self.socket).poll_flush(cx);
-        if matches!(flushed, Poll::Ready(Ok(()))) && self.mark.0.get() == Written::Handed {
-            self.mark.0.set(Written::Yes);
-        }
-        flushed
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_shutdown(cx)
-    }
-}
-
 /// One connection to an instance. Dropping it closes the socket at once.
 pub struct Connection {
     sender: SendRequest<Outgoing>,
-    mark: WriteMark,
-    gate: Rc<RefCell<Gate>>,
+    slot: RequestSlot,
     driver: AbortHandle,
     since: Instant,
     fresh: bool,
@@ -227,12 +84,9 @@
 }
 
 impl Connection {
-    /// A body for the next request on this connection, and the mark that tells when it is written. The `gate` says whether it
-    /// is new work, which does not begin at an instance that drains, or lets go of what is held, which any instance takes.
-    pub fn body(&self, data: Bytes, gate: Gate) -> (Outgoing, WriteMark) {
-        self.mark.0.set(Written::No);
-        self.gate.replace(gate);
-        (Outgoing { data: Some(data).filter(|d| !d.is_empty()), mark: self.mark.clone() }, self.mark.clone())
+    /// A body for the next request on this connection, and the mark that tells when it is written.
+    pub fn body(&self, data: Bytes, check: SendCheck) -> (Outgoing, WriteMark) {
+        self.slot.body(data, check)
     }
 
     /// The sending half.
@@ -361,9 +215,9 @@
         let permit = self.permit().await?;
         let socket = TcpStream::connect(addr).await.map_err(|_| NoConnection)?;
         socket.set_nodelay(true).map_err(|_| NoConnection)?;
-        let (mark, gate) = (WriteMark::default(), Rc::<RefCell<Gate>>::default());
-        let io = TokioIo::new(Watched { socket, mark: mark.clone(), gate: gate.clone(), open });
-        let made = http1::Builder::new().max_buf_size(BUFFER).handshake(io).await;
+        let socket = CheckedSocket::new(socket, open);
+        let slot = socket.request_slot();
+        let made = http1::Builder::new().max_buf_size(BUFFER).handshake(TokioIo::new(socket)).await;
         let (sender, connection) = made.map_err(|_| NoConnection)?;
         add(&self.counters.connects);
         let driver = tokio::task::spawn_local(async move {
@@ -371,14 +225,7 @@
             // Its end shows at the request that used it.
             let _ = connection.await;
         });
-        Ok(Connection {
-            sender,
-            mark,
-            gate,
-            driver: driver.abort_handle(),
-            since: Instant::now(),
-            fresh: true,
-        })
+        Ok(Connection { sender, slot, driver: driver.abort_handle(), since: Instant::now(), fresh: true })
     }
 
     /// Room for one more connection, made by closing the oldest idle one if need be.
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -23,6 +23,15 @@
     chat_unsafe_broken_after
     chat_unsafe_broken_before
     chat_whole
+    crossing_end_unread
+    crossing_left_as_read
+    crossing_left_at_once
+    crossing_list
+    crossing_operator_call
+    crossing_sigterm_half_head
+    crossing_sigterm_request
+    crossing_signals
+    crossing_whole_and_reset
     deadline
     deadline_unsafe
     discovery
--- a/tests/lists.rs
+++ b/tests/lists.rs
@@ -20,7 +20,8 @@
 use croftsill::node::process::start::{Given, become_ready};
 use croftsill::node::request::Caller;
 use croftsill::node::upstream::attempt::{Dialect, First, Payload, Upstream};
-use croftsill::node::upstream::pool::{Gate, Pool, PoolLimits, Site};
+use croftsill::node::upstream::pool::{Pool, PoolLimits, Site};
+use croftsill::node::upstream::socket::SendCheck;
 use croftsill::node::{Clock, Core};
 use croftsill::wire::{Names, settings_from};
 use hyper::HeaderMap;
@@ -508,7 +509,7 @@
             upstream.pool().place(host, site(true));
             let mut ready = upstream.pool().connection(host).await.expect("a connection");
             upstream.pool().place(host, site(false).filter(|_| !gone));
-            let (body, mark) = ready.body(Bytes::from_static(b"{}"), Gate::New(None));
+            let (body, mark) = ready.body(Bytes::from_static(b"{}"), SendCheck::Probe);
             let request = hyper::Request::post("/").body(body).expect("a request");
             assert!(ready.sender().send_request(request).await.is_err() && !mark.written());
             sleep(Duration::from_millis(100)).await;
--- a/tests/player/mod.rs
+++ b/tests/player/mod.rs
@@ -17,14 +17,23 @@
 enum News {
     Opened(TcpStream),
     Bytes(usize, Vec<u8>),
-    Ended(usize),
+    Ended(usize, End),
+}
+
+/// How the other side ended a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum End {
+    /// In order, behind all that it had written.
+    Closed,
+    /// By a reset.
+    Reset,
 }
 
 #[derive(Default)]
 struct Line {
     socket: Option<TcpStream>,
     unread: Vec<u8>,
-    ended: bool,
+    ended: Option<End>,
 }
 
 /// One party on sockets: a client, or an instance that listens.
@@ -38,12 +47,15 @@
 fn watch(mut socket: TcpStream, number: usize, sender: Sender<News>) {
     std::thread::spawn(move || {
         let mut buffer = [0; 65_536];
-        while let Ok(n @ 1..) = socket.read(&mut buffer) {
-            if sender.send(News::Bytes(number, buffer[..n].to_vec())).is_err() {
-                return;
+        let end = loop {
+            match socket.read(&mut buffer) {
+                Ok(0) => break End::Closed,
+                Ok(n) if sender.send(News::Bytes(number, buffer[..n].to_vec())).is_ok() => {}
+                Ok(_) => return,
+                Err(_) => break End::Reset,
             }
-        }
-        let _ = sender.send(News::Ended(number));
+        };
+        let _ = sender.send(News::Ended(number, end));
     });
 }
 
@@ -85,7 +97,7 @@
         match news {
             News::Opened(socket) => self.open(socket),
             News::Bytes(n, bytes) => self.lines[n].unread.extend(bytes),
-            News::Ended(n) => self.lines[n].ended = true,
+            News::Ended(n, end) => self.lines[n].ended = Some(end),
         }
     }
 
@@ -98,6 +110,29 @@
         let _ = self.lines[self.at].socket.take().map(|s| s.shutdown(Shutdown::Both));
     }
 
+    /// Ends the sending side alone.
+    fn half_close(&self) {
+        let socket = self.lines[self.at].socket.as_ref().expect("an open connection");
+        socket.shutdown(Shutdown::Write).expect("a connection that stands");
+    }
+
+    /// Breaks the connection off: what was not delivered is lost.
+    fn reset(&mut self) {
+        let socket = self.lines[self.at].socket.take().expect("an open connection");
+        // The thread that reads holds a second handle, so dropping this one would not end the connection.
+        rustix::net::connect_unspec(&socket).expect("a connection that stands");
+    }
+
+    /// Waits for the end of the present connection.
+    fn ended(&mut self, at: &str) -> End {
+        loop {
+            if let Some(end) = self.lines[self.at].ended {
+                return end;
+            }
+            assert!(self.hear(), "{at}: still open");
+        }
+    }
+
     fn shown(&self) -> String {
         let lines = self.lines.iter().map(|l| String::from_utf8_lossy(&l.unread).into_owned());
         lines.collect::<Vec<_>>().join("\n--- next connection\n")
@@ -235,6 +270,16 @@
         assert!(killed.success());
     }
 
+    /// Stops it where it is, until `SIGCONT`; it must not have ended by then.
+    pub fn stop(&self) {
+        use rustix::process::{Pid, WaitId, WaitIdOptions, waitid};
+        self.signal("STOP");
+        let states = WaitIdOptions::STOPPED | WaitIdOptions::EXITED | WaitIdOptions::NOWAIT;
+        let status =
+            waitid(WaitId::Pid(Pid::from_child(&self.child)), states).expect("a child").expect("a state");
+        assert!(status.stopped(), "it has ended: {:#?}", self.log.try_iter().collect::<Vec<_>>());
+    }
+
     /// Tells it to end, and gives its log once it has ended well.
     pub fn end(mut self) -> String {
         self.signal("TERM");
@@ -396,6 +441,10 @@
         "platform" => "ready, with",
         _ => "chat front listens",
     });
+    let clients = |name: &str| {
+        let operated = head_front == "operated" && name.starts_with(['o', 's']);
+        format!("{base}:{}", if operated { 8082 } else { port_of(front) })
+    };
     let mut counters = Vec::new();
     for (step, (head, lines)) in steps(script).iter().enumerate() {
         let at = format!("step {} ({head})", step + 1);
@@ -406,6 +455,9 @@
             ("log", part) => program.logs(part),
             ("SIGTERM", _) => program.signal("TERM"),
             ("SIGHUP", _) => program.signal("HUP"),
+            // What happens between these two has all happened when the program next looks.
+            ("SIGSTOP", _) => program.stop(),
+            ("SIGCONT", _) => program.signal("CONT"),
             // The configuration, with another actor as discovery, or with text that is none.
             ("configured", "badly") => drop(file(&base, "config.json", "{\"name\":")),
             ("configured", with) => drop(configured(&base, port(with), scripted)),
@@ -419,9 +471,7 @@
                 match verb {
                     "sends" => {
                         if actor.lines.is_empty() {
-                            let operated = head_front == "operated" && name.starts_with(['o', 's']);
-                            let port = if operated { 8082 } else { port_of(front) };
-                            actor.open(TcpStream::connect(format!("{base}:{port}")).expect("it listens"));
+                            actor.open(TcpStream::connect(clients(name)).expect("it listens"));
                         }
                         actor.send(&bytes_of(&lines));
                     }
@@ -435,16 +485,16 @@
                         actor.at = found.expect("it was found");
                         actor.lines[actor.at].unread.clear();
                     }
+                    "connects" => actor.open(TcpStream::connect(clients(name)).expect("it listens")),
                     "closes" => actor.close(),
+                    "half-closes" => actor.half_close(),
+                    "resets" => actor.reset(),
                     // Goes back to an earlier connection, counted from 1.
                     on if on.starts_with("is on ") => {
                         actor.at = on["is on ".len()..].parse::<usize>().expect("a connection") - 1;
                     }
-                    "is closed" => {
-                        while !actor.lines[actor.at].ended {
-                            assert!(actor.hear(), "{at}: still open");
-                        }
-                    }
+                    "is closed" => drop(actor.ended(&at)),
+                    "is closed in order" => assert_eq!(actor.ended(&at), End::Closed, "{at}"),
                     other => panic!("{at}: unknown verb {other}"),
                 }
             }
@@ -456,7 +506,7 @@
         while let Ok(news) = actor.news.try_recv() {
             actor.take(news);
         }
-        while actor.lines.iter().any(|l| !l.ended) {
+        while actor.lines.iter().any(|l| l.ended.is_none()) {
             assert!(actor.hear(), "{name}: a connection outlives the program");
         }
         assert!(actor.lines.iter().all(|l| l.unread.is_empty()), "{name} also got\n{}", actor.shown());
