--- /dev/null
+++ b/src/control/controller/handle.rs
@@ -0,0 +1,125 @@
+//! The serving thread's way to the controller: what it asks and tells.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngExt;
+use serde_json::Value;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout;
+
+use super::operations::unknown_outcome;
+use crate::control::shared_gate::SharedGate;
+use crate::control::state::{ChangeId, Revision};
+use crate::estimate::Learnt;
+use crate::replica::idempotency::{Decision, Name, Try};
+use crate::replica::marks::Subject;
+use crate::replica::share::Duties;
+use crate::replica::store::Report;
+
+/// What operators ask.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Where all stands.
+    Status,
+    /// A new policy.
+    Propose {
+        /// The change's number.
+        id: ChangeId,
+        /// The document.
+        document: String,
+        /// The revision that it was made for.
+        base: Option<Revision>,
+    },
+    /// How a change ended.
+    Outcome(ChangeId),
+    /// A policy's document.
+    Document(Revision),
+    /// A conductor is a member no longer.
+    Remove(String),
+    /// Something is out for maintenance, or drained.
+    Mark(Subject),
+    /// It is back.
+    Lift(Subject),
+    /// Where shared state stands.
+    State,
+    /// All of it that lasts.
+    Export,
+    /// Such an export, to be merged.
+    Import(Value),
+}
+
+impl Call {
+    /// A proposal under a number of its own.
+    pub fn proposal(document: String, base: Option<Revision>) -> Self {
+        Call::Propose { id: ChangeId(rand::rng().random()), document, base }
+    }
+}
+
+/// What the serving side tells of itself.
+#[derive(Debug)]
+pub enum StateUpdate {
+    /// What the module has spent and learnt.
+    Figures(Box<Learnt>),
+    /// How an instance was found.
+    Report(String, Report),
+    /// A named request is to be sent.
+    Claim(Name, oneshot::Sender<(Decision, Option<Try>)>),
+    /// Nothing was sent under this claim.
+    Withdraw(Name, Try),
+    /// It ran.
+    Completed(Name, Try),
+}
+
+/// The answer to a call.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reply {
+    /// As HTTP has it.
+    pub status: u16,
+    /// JSON.
+    pub body: Value,
+}
+
+/// The serving thread's way to the controller.
+#[derive(Clone)]
+pub struct Handle {
+    pub(super) calls: mpsc::Sender<(Call, oneshot::Sender<Reply>)>,
+    pub(super) updates: mpsc::Sender<StateUpdate>,
+    /// This conductor's name.
+    pub name: String,
+    /// The duties that are this conductor's to do.
+    pub duties: Duties,
+    /// The right to take requests.
+    pub gate: Arc<SharedGate>,
+}
+
+impl Handle {
+    /// Asks; where the ledger's thread has ended there is no answer.
+    pub async fn call(&self, call: Call) -> Option<Reply> {
+        let (answer, answered) = oneshot::channel();
+        self.calls.send((call, answer)).await.ok()?;
+        answered.await.ok()
+    }
+
+    /// Asks, and waits so long. One who proposed and is not answered in time learns by which number to ask again: a flush that
+    /// the disk holds up holds up the ledger's thread, and the change may pass all the same. Else there is no answer.
+    pub async fn ask(&self, call: Call, within: Duration) -> Option<Reply> {
+        let proposed = if let Call::Propose { id, .. } = &call { Some(*id) } else { None };
+        let answered = timeout(within, self.call(call)).await;
+        answered.unwrap_or_else(|_| proposed.map(|id| unknown_outcome(id, "the ledger gives no answer yet")))
+    }
+
+    /// Tells; dropped where the ledger's thread is too slow to hear it.
+    pub fn tell(&self, update: StateUpdate) {
+        let _ = self.updates.try_send(update);
+    }
+
+    /// Claims a named request's name. Without an answer nothing may be sent.
+    pub async fn claim(&self, name: Name) -> (Decision, Option<Try>) {
+        let (answer, answered) = oneshot::channel();
+        if self.updates.send(StateUpdate::Claim(name, answer)).await.is_err() {
+            return (Decision::Refuse, None);
+        }
+        answered.await.unwrap_or((Decision::Refuse, None))
+    }
+}
--- a/src/control/desk/tests.rs
+++ b/src/control/controller/tests.rs
@@ -1,11 +1,13 @@
+use serde_json::json;
+
 use super::*;
 
 fn handle() -> (Handle, mpsc::Receiver<(Call, oneshot::Sender<Reply>)>) {
     let (calls, asked) = mpsc::channel(4);
     let (share, _) = Share::new("a", Session(1), 0, Default::default());
-    let right = Arc::new(Right::new(Gate::new(Session(1)), Settings::default()));
-    let (told, name) = (mpsc::channel(4).0, "a".to_owned());
-    (Handle { calls, told, name, duties: share.duties(), right }, asked)
+    let gate = Arc::new(SharedGate::new(Gate::new(Session(1)), Settings::default()));
+    let (updates, name) = (mpsc::channel(4).0, "a".to_owned());
+    (Handle { calls, updates, name, duties: share.duties(), gate }, asked)
 }
 
 /// The ledger's thread is held up, by a disk that flushes nothing for a while: what was proposed can be asked for, and any
--- a/src/control/gate.rs
+++ b/src/control/gate.rs
@@ -11,7 +11,7 @@
 pub enum Take {
     /// It is taken in under this revision.
     Under(Revision),
-    /// It waits at the door, until this moment at the latest.
+    /// It waits at the gate, until this moment at the latest.
     Hold(Micros),
     /// It is refused at once.
     Refuse(Closed),
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,16 +1,16 @@
 //! One policy for all conductors, changed at one moment (`docs/POLICY.md`). Nothing here does I/O or reads a clock, but for
-//! the desk that brings links, ledger and these parts together.
+//! the controller that brings links, ledger and these parts together.
 //!
 //! [`policy`] is the document, [`state`] is what the ledger makes all agree on, [`coordinator`] is the part of the
 //! ledger's leader, [`gate`] is a conductor's right to take requests. [`report`] holds what the last two tell each other.
 
-pub mod coordinator;
 #[cfg(feature = "cluster")]
-pub mod desk;
+pub mod controller;
+pub mod coordinator;
 pub mod gate;
 pub mod policy;
 pub mod report;
-pub mod right;
+pub mod shared_gate;
 pub mod state;
 
 use crate::api::Micros;
@@ -25,5 +25,5 @@
 pub const PREPARE_WAIT: Micros = 2_000_000;
 /// A lease that runs for less than this is renewed before its conductor gives its standing right up for it.
 pub const ARM: Micros = LEASE / 4;
-/// For so long a request may be held at the door.
+/// For so long a request may be held at the gate.
 pub const HOLD: Micros = 300_000;
--- a/src/control/right.rs
+++ b/src/control/shared_gate.rs
@@ -28,16 +28,16 @@
 
 /// The right to take requests, judged and changed under one lock: when a change says that this conductor is fenced, no
 /// request is being judged by what held before.
-pub struct Right {
+pub struct SharedGate {
     inner: Mutex<Inner>,
     changed: watch::Sender<()>,
 }
 
-impl Right {
+impl SharedGate {
     /// The right of a process that starts with these settings.
     pub fn new(gate: Gate, settings: Settings) -> Self {
         let active = Arc::new(Active { revision: 0, policy: None, settings });
-        Right { inner: Mutex::new(Inner { gate, active }), changed: watch::Sender::new(()) }
+        SharedGate { inner: Mutex::new(Inner { gate, active }), changed: watch::Sender::new(()) }
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
--- a/src/ledger/store.rs
+++ b/src/ledger/store.rs
@@ -11,7 +11,7 @@
 
 use super::types::{Entry, Hard, Snap, decode, encode};
 use crate::control::state::Session;
-use crate::replica::ran::{Held, Name, Stage, Try};
+use crate::replica::idempotency::{Held, Name, Stage, Try};
 use crate::replica::share::{Kept, Unsaved};
 use crate::replica::store::Key;
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -13,9 +13,8 @@
 #[cfg(feature = "cluster")]
 use croftsill::cli::{self, Words};
 #[cfg(feature = "cluster")]
-use croftsill::control::desk;
+use croftsill::control::controller;
 use croftsill::node::counters::Counters;
-use croftsill::node::door::Door;
 use croftsill::node::front::chat::ChatFront;
 use croftsill::node::front::intake::Intake;
 use croftsill::node::front::operator::{self, Operator};
@@ -26,6 +25,7 @@
 use croftsill::node::list::membership::Membership;
 use croftsill::node::list::pace::Pace;
 use croftsill::node::planner::Planner;
+use croftsill::node::policy_gate::PolicyGate;
 use croftsill::node::process::config::{Chat, ConfigError, Platform};
 use croftsill::node::process::handover::{self, Hello, State};
 use croftsill::node::process::readiness::{Happening, Readiness};
@@ -55,7 +55,7 @@
     Io(#[from] std::io::Error),
     #[cfg(feature = "cluster")]
     #[error("{0}")]
-    Peers(#[from] croftsill::control::desk::StartError),
+    Peers(#[from] croftsill::control::controller::StartError),
     #[cfg(not(feature = "cluster"))]
     #[error("usage: croftsill [--chat FILE]")]
     Usage,
@@ -135,26 +135,27 @@
 
 /// The way to the other conductors, where this one knows them.
 #[cfg(feature = "cluster")]
-type Conductors = Option<desk::Handle>;
+type Conductors = Option<controller::Handle>;
 /// Without the feature there are none.
 #[cfg(not(feature = "cluster"))]
 type Conductors = Option<std::convert::Infallible>;
 
 /// The other conductors, where this one knows them: the way to what is shared with them, and news of it.
 #[cfg(feature = "cluster")]
-type Peers = (desk::Handle, tokio::sync::mpsc::UnboundedReceiver<croftsill::replica::share::News>);
+type Peers =
+    (controller::Handle, tokio::sync::mpsc::UnboundedReceiver<croftsill::replica::share::ShareEvent>);
 
-/// Where conductors know one another: the door behind which the right to take requests holds, and what is shared.
+/// Where conductors know one another: the gate that judges whether requests may be taken, and what is shared.
 #[cfg(feature = "cluster")]
 fn join_peers(
     file: Option<&Path>, config: &Platform, clock: Clock, counters: &Rc<Counters>,
-) -> Result<(Rc<Door>, Option<Peers>), StartError> {
-    let Some(file) = file else { return Ok((Door::open(), None)) };
+) -> Result<(Rc<PolicyGate>, Option<Peers>), StartError> {
+    let Some(file) = file else { return Ok((PolicyGate::open(), None)) };
     let roster = Roster::read(file, &config.name)?;
     tracing::info!("peers: {} of {}, listens on {}", config.name, roster.cluster, roster.me.address);
     let (settings, names) = (config.settings.clone(), config.names.clone());
-    let (handle, news) = desk::start(desk::Setup { roster, settings, names, clock })?;
-    Ok((Door::guarded(handle.right.clone(), clock, counters.clone()), Some((handle, news))))
+    let (handle, news) = controller::start(controller::Setup { roster, settings, names, clock })?;
+    Ok((PolicyGate::guarded(handle.gate.clone(), clock, counters.clone()), Some((handle, news))))
 }
 
 /// Begins to share state with the other conductors, where this one knows them.
@@ -181,11 +182,11 @@
     let Beginning { inherited, listener, link, meeting } = Beginning::find(&config, &hello, alone).await?;
     let listener = Rc::new(listener);
     #[cfg(feature = "cluster")]
-    let (door, peers) = join_peers(words.cluster.as_deref(), &config, clock, &counters)?;
+    let (policy_gate, peers) = join_peers(words.cluster.as_deref(), &config, clock, &counters)?;
     #[cfg(feature = "cluster")]
     let conductors = peers.as_ref().map(|(handle, _)| handle.clone());
     #[cfg(not(feature = "cluster"))]
-    let door = Door::open();
+    let policy_gate = PolicyGate::open();
     let settings = handover::digest(&config.settings);
     let same = inherited.as_ref().filter(|state| state.settings == settings);
     let learnt = same.map(|state| state.learnt.clone());
@@ -195,7 +196,7 @@
     let (discovery, address) = watch::channel(config.discovery);
     let (hangups, path) = replaced;
     spawn_local(reload::follow(hangups, path, discovery, counters.clone()));
-    let core = Core { planner, upstream, counters: counters.clone(), door: door.clone() };
+    let core = Core { planner, upstream, counters: counters.clone(), policy_gate: policy_gate.clone() };
     let tidied = pool.clone();
     spawn_local(async move { tidied.tidy().await });
 
@@ -228,10 +229,10 @@
         #[cfg(not(feature = "cluster"))]
         let _ = shared;
     };
-    spawn_local(become_ready(heard, given, door.clone(), caught_up, shutdown.clone()));
+    spawn_local(become_ready(heard, given, policy_gate.clone(), caught_up, shutdown.clone()));
     spawn_local(end_streams(core.planner.clone(), shutdown.clone()));
     let intake = Intake::new(config.intake, config.body_bytes, counters.clone());
-    spawn_local(door.limit(intake.clone(), pool));
+    spawn_local(policy_gate.limit(intake.clone(), pool));
     let front = PlatformFront::new(core, config.names, intake.clone(), shutdown.clone());
     let partners = Partners::default();
     if let Some(place) = config.operator {
@@ -287,7 +288,7 @@
     let (planner, orders) = Planner::start(config.settings.clone(), seed, clock, None);
     let dialect = Dialect::Chat(std::mem::take(&mut config.server_headers));
     let upstream = Rc::new(Upstream::new(pool.clone(), dialect, counters.clone()));
-    let core = Core { planner, upstream, counters: counters.clone(), door: Door::open() };
+    let core = Core { planner, upstream, counters: counters.clone(), policy_gate: PolicyGate::open() };
     spawn_local(tend_fleet(core.clone(), orders));
     let tidied = pool.clone();
     spawn_local(async move { tidied.tidy().await });
--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -45,9 +45,9 @@
     overdue,
     /// Clients that went away first.
     left,
-    /// Requests that waited at the door while a policy change came into force.
+    /// Requests that waited at the gate while a policy change came into force.
     held_at_door,
-    /// Requests refused at the door: this process may not take any in.
+    /// Requests refused at the gate: this process may not take any in.
     turned_away,
     /// The revision of the policy under which requests are taken in.
     revision,
--- a/src/node/front/chat.rs
+++ b/src/node/front/chat.rs
@@ -20,7 +20,7 @@
 use super::{Pieces, Reply, begin};
 use crate::api::*;
 #[cfg(feature = "cluster")]
-use crate::control::desk::{Handle, Told};
+use crate::control::controller::{Handle, StateUpdate};
 use crate::node::Core;
 use crate::node::counters::add;
 use crate::node::process::config::Chat;
@@ -28,7 +28,7 @@
 use crate::node::request::Answer;
 use crate::node::upstream::attempt::Payload;
 #[cfg(feature = "cluster")]
-use crate::replica::ran::{Decision, NAME_MOST, Name, Stage, Try};
+use crate::replica::idempotency::{Decision, NAME_MOST, Name, Stage, Try};
 
 /// Tells clients whether to try again by themselves.
 const SHOULD_RETRY: HeaderName = HeaderName::from_static("x-should-retry");
@@ -301,8 +301,8 @@
         if let (Some((name, of)), Some(handle)) = (claimed, &self.conductors) {
             match given.as_ref().map(|given| &given.answer) {
                 // Of a request that must not run twice a refusal says that it never ran.
-                Ok(Answer::Refused { .. }) => handle.tell(Told::Withdraw(name, of)),
-                Ok(Answer::Events { .. }) => handle.tell(Told::Ran(name, of)),
+                Ok(Answer::Refused { .. }) => handle.tell(StateUpdate::Withdraw(name, of)),
+                Ok(Answer::Events { .. }) => handle.tell(StateUpdate::Completed(name, of)),
                 // A claim that stays says that it may have run.
                 _ => {}
             }
--- a/src/node/front/operator.rs
+++ b/src/node/front/operator.rs
@@ -23,7 +23,7 @@
 use tokio::time::{sleep, timeout};
 
 #[cfg(feature = "cluster")]
-use crate::control::desk::{self, Call};
+use crate::control::controller::{self, Call};
 #[cfg(feature = "cluster")]
 use crate::control::policy::DOCUMENT_MOST;
 #[cfg(feature = "cluster")]
@@ -112,7 +112,7 @@
     shutdown: Shutdown,
     partners: Partners,
     #[cfg(feature = "cluster")]
-    conductors: Option<desk::Handle>,
+    conductors: Option<controller::Handle>,
 }
 
 impl Operator {
@@ -129,7 +129,7 @@
 
     /// The same, for a conductor that knows others.
     #[cfg(feature = "cluster")]
-    pub fn among(self, conductors: Option<desk::Handle>) -> Self {
+    pub fn among(self, conductors: Option<controller::Handle>) -> Self {
         Operator { conductors, ..self }
     }
 
--- a/src/node/front/platform.rs
+++ b/src/node/front/platform.rs
@@ -140,12 +140,14 @@
                     plain(fault.status(), format!("{fault}\n"))
                 }
             },
-            (&Method::GET, "/-/ready") if self.shutdown.readiness().ready() && !self.core.door.shut() => {
+            (&Method::GET, "/-/ready")
+                if self.shutdown.readiness().ready() && !self.core.policy_gate.shut() =>
+            {
                 plain(StatusCode::OK, "ready\n")
             }
             (&Method::GET, "/-/ready") => {
                 let drained = self.shutdown.readiness().drained();
-                let why = match (drained, self.core.door.shut()) {
+                let why = match (drained, self.core.policy_gate.shut()) {
                     (true, _) => "drained by operators\n",
                     (_, true) => "not known to the other conductors, or cut off from them\n",
                     _ => "no list of instances yet\n",
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -5,10 +5,10 @@
 //! the fleet's [`list`] and the life of the [`process`] itself.
 
 pub mod counters;
-pub mod door;
 pub mod front;
 pub mod list;
 pub mod planner;
+pub mod policy_gate;
 pub mod process;
 pub mod request;
 #[cfg(feature = "cluster")]
@@ -67,7 +67,7 @@
     /// Counts.
     pub counters: Rc<counters::Counters>,
     /// Takes requests in.
-    pub door: Rc<door::Door>,
+    pub policy_gate: Rc<policy_gate::PolicyGate>,
 }
 
 /// Carries out what a planner wants of the fleet as a whole.
--- a/src/node/planner.rs
+++ b/src/node/planner.rs
@@ -68,8 +68,8 @@
         if let Some(learnt) = learnt {
             router.all = learnt;
         }
-        let desk = Desk { router, clock, handles: HashMap::new(), inputs: inputs.clone(), fleet };
-        tokio::task::spawn_local(desk.run(inbox));
+        let task = PlannerTask { router, clock, handles: HashMap::new(), inputs: inputs.clone(), fleet };
+        tokio::task::spawn_local(task.run(inbox));
         (Planner { inputs, next_id: Rc::default() }, fleet_orders)
     }
 
@@ -184,7 +184,7 @@
     matches!(outcome, Outcome::Unreachable | Outcome::TimedOut | Outcome::Broken)
 }
 
-struct Desk {
+struct PlannerTask {
     router: Router,
     clock: Clock,
     handles: HashMap<RequestId, UnboundedSender<Order>>,
@@ -192,7 +192,7 @@
     fleet: UnboundedSender<FleetOrder>,
 }
 
-impl Desk {
+impl PlannerTask {
     async fn run(mut self, mut inbox: UnboundedReceiver<Input>) {
         let (mut inputs, mut events, mut actions) = (Vec::new(), Vec::new(), Vec::new());
         // Everything that has come in is one round, as a batch is for the adapter.
--- a/src/node/door.rs
+++ b/src/node/policy_gate.rs
@@ -1,4 +1,4 @@
-//! The door of a conductor: under which policy a request is taken in, or that it is not. Open to all where conductors do
+//! The gate before a conductor: under which policy a request is taken in, or that it is not. Open to all where conductors do
 //! not know one another.
 
 use std::cell::Cell;
@@ -15,19 +15,19 @@
 use super::{Clock, span};
 use crate::api::{Micros, NewRequest};
 use crate::control::gate::Take;
-use crate::control::right::{Active, Right};
+use crate::control::shared_gate::{Active, SharedGate};
 use crate::control::state::Revision;
 
-/// When a client that is turned away at the door should come back: at least, and at most.
+/// When a client that is turned away should come back: at least, and at most.
 const COME_BACK: (Micros, Micros) = (400_000, 1_600_000);
 
-/// A door, and what has to be told when a new policy is first met there.
-pub struct Door {
+/// The gate, and what has to be told when a new policy is first met there.
+pub struct PolicyGate {
     guard: Option<Guard>,
 }
 
 struct Guard {
-    right: Arc<Right>,
+    gate: Arc<SharedGate>,
     clock: Clock,
     told: Cell<Revision>,
     turned_away: Cell<u64>,
@@ -38,16 +38,16 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TurnedAway(pub Micros);
 
-impl Door {
-    /// A door that is always open.
+impl PolicyGate {
+    /// A gate that is always open.
     pub fn open() -> Rc<Self> {
-        Rc::new(Door { guard: None })
+        Rc::new(PolicyGate { guard: None })
     }
 
-    /// A door behind which this right holds.
-    pub fn guarded(right: Arc<Right>, clock: Clock, counters: Rc<Counters>) -> Rc<Self> {
+    /// A gate that asks this shared one.
+    pub fn guarded(gate: Arc<SharedGate>, clock: Clock, counters: Rc<Counters>) -> Rc<Self> {
         let (told, turned_away) = (Cell::new(0), Cell::new(0));
-        Rc::new(Door { guard: Some(Guard { right, clock, told, turned_away, counters }) })
+        Rc::new(PolicyGate { guard: Some(Guard { gate, clock, told, turned_away, counters }) })
     }
 
     /// Takes a request in under the policy of this moment; none where the conductor goes by its configuration alone. While
@@ -57,7 +57,7 @@
         let Some(guard) = &self.guard else { return Ok(None) };
         let mut changes = None;
         loop {
-            match guard.right.take(|| guard.clock.now()) {
+            match guard.gate.take(|| guard.clock.now()) {
                 Ok(active) => {
                     guard.tell(&active, planner);
                     return Ok(Some(active));
@@ -65,7 +65,7 @@
                 // The first look at the changes is before the second look at the right: none between is missed.
                 Err(Take::Hold(_)) if changes.is_none() => {
                     add(&guard.counters.held_at_door);
-                    changes = Some(guard.right.changes());
+                    changes = Some(guard.gate.changes());
                 }
                 Err(Take::Hold(until)) => {
                     let left = span(until - guard.clock.now()).max(Duration::from_millis(1));
@@ -83,15 +83,15 @@
 
     /// Whether nothing is taken in at this moment, nor soon.
     pub fn shut(&self) -> bool {
-        let take = self.guard.as_ref().map(|guard| guard.right.look(|gate| gate.take(guard.clock.now())));
+        let take = self.guard.as_ref().map(|guard| guard.gate.look(|gate| gate.take(guard.clock.now())));
         matches!(take, Some(Take::Refuse(_)))
     }
 
     /// Waits until this process is known to the others.
     pub async fn registered(&self) {
         let Some(guard) = &self.guard else { return };
-        let mut changes = guard.right.changes();
-        while !guard.right.look(|gate| gate.registered()) {
+        let mut changes = guard.gate.changes();
+        while !guard.gate.look(|gate| gate.registered()) {
             if changes.changed().await.is_err() {
                 return;
             }
@@ -101,10 +101,10 @@
     /// Keeps connections to what the policy in force says, for ever.
     pub async fn limit(self: Rc<Self>, intake: Rc<Intake>, pool: Rc<Pool>) {
         let Some(guard) = &self.guard else { return };
-        let mut changes = guard.right.changes();
+        let mut changes = guard.gate.changes();
         let mut seen = 0;
         while changes.changed().await.is_ok() {
-            let active = guard.right.active();
+            let active = guard.gate.active();
             if let Some(policy) = active.policy.as_ref().filter(|_| active.revision != seen) {
                 seen = active.revision;
                 intake.limit(policy.client_connections);
--- a/src/node/process/start.rs
+++ b/src/node/process/start.rs
@@ -9,7 +9,7 @@
 
 use super::readiness::Happening;
 use super::shutdown::Shutdown;
-use crate::node::door::Door;
+use crate::node::policy_gate::PolicyGate;
 
 /// How long a start waits for discovery before it serves by the list that it was given, which may be old: half of the time in
 /// which it is to be ready, the other half is for a machine that is short of time.
@@ -29,15 +29,15 @@
 /// Says that this process can serve, once it has a list, discovery's or after a while the one that it began with, and is known
 /// to the other conductors and caught up with them. `told` turns true with the first list of discovery.
 pub async fn become_ready(
-    mut told: watch::Receiver<bool>, given: Given, door: Rc<Door>, caught_up: impl Future<Output = ()>,
-    shutdown: Shutdown,
+    mut told: watch::Receiver<bool>, given: Given, policy_gate: Rc<PolicyGate>,
+    caught_up: impl Future<Output = ()>, shutdown: Shutdown,
 ) {
     let wait = if given.inherited { INHERITED_WAIT } else { DISCOVERY_WAIT };
     let in_time = timeout(wait, told.wait_for(|told| *told)).await.is_ok();
     if !in_time && !given.known {
         let _ = told.wait_for(|told| *told).await;
     }
-    door.registered().await;
+    policy_gate.registered().await;
     caught_up.await;
     tracing::info!("ready, {}", if in_time { "with discovery's list" } else { "discovery is silent" });
     shutdown.note(Happening::CanServe);
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -11,8 +11,8 @@
 use tokio::time::{Instant, sleep_until, timeout};
 
 use super::counters::{Counters, add};
-use super::door::{TurnedAway, time_left};
 use super::planner::{End, Order, RequestHandle};
+use super::policy_gate::{TurnedAway, time_left};
 use super::{Core, span};
 use crate::api::{AttemptId, HostId, Load, Micros, NewRequest, Outcome};
 use crate::control::state::Revision;
@@ -172,11 +172,11 @@
 /// Lives one request through. The planner decides at each point of choice; exactly one final answer goes to the
 /// caller, and nothing stays held or sent when this ends. `permit` is what the payload takes up, given back with it.
 pub async fn live<R>(core: Core, mut ask: NewRequest, (payload, permit): (Payload, R), mut caller: Caller) {
-    // 0. At the door: which policy decides it to its end, or that this process takes nothing in.
+    // 0. At the gate: which policy decides it to its end, or that this process takes nothing in.
     let arrived = Instant::now();
     let passed = tokio::select! {
         biased;
-        passed = core.door.pass(&core.planner) => passed,
+        passed = core.policy_gate.pass(&core.planner) => passed,
         () = caller.left() => return add(&core.counters.left),
     };
     match passed {
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -14,9 +14,9 @@
 use super::planner::FleetOrder;
 use super::{Clock, Core};
 use crate::api::{HostId, Load, Micros, Outcome};
-use crate::control::desk::{Handle, Told};
+use crate::control::controller::{Handle, StateUpdate};
 use crate::replica::marks::{Marks, Subject};
-use crate::replica::share::News;
+use crate::replica::share::ShareEvent;
 use crate::replica::store::Report;
 use crate::replica::sync::CATCH_UP_MOST;
 
@@ -66,7 +66,7 @@
 
     /// Passes on what comes and goes, for ever. `me` is this conductor's name; `drain` is told when its own mark changes.
     pub async fn run(
-        self: Rc<Self>, me: String, mut news: mpsc::UnboundedReceiver<News>, drain: impl Fn(bool),
+        self: Rc<Self>, me: String, mut news: mpsc::UnboundedReceiver<ShareEvent>, drain: impl Fn(bool),
     ) {
         let mut ticks = interval(TELL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -74,7 +74,7 @@
             tokio::select! {
                 _ = ticks.tick() => {
                     let learnt = self.fleet.core().planner.settled().await;
-                    self.handle.tell(Told::Figures(Box::new(learnt)));
+                    self.handle.tell(StateUpdate::Figures(Box::new(learnt)));
                     // An instance that discovery has just named may be out for maintenance.
                     self.lay_marks().await;
                 }
@@ -86,11 +86,11 @@
         }
     }
 
-    async fn take(&self, me: &str, news: News, drain: &impl Fn(bool)) {
+    async fn take(&self, me: &str, news: ShareEvent, drain: &impl Fn(bool)) {
         let planner = &self.fleet.core().planner;
         match news {
-            News::Others(spent) => planner.others(spent),
-            News::Reports(reports) => {
+            ShareEvent::Others(spent) => planner.others(spent),
+            ShareEvent::Reports(reports) => {
                 for (instance, report) in reports {
                     let Some(host) = self.fleet.known(&instance) else { continue };
                     add(&self.fleet.core().counters.reports_heard);
@@ -98,7 +98,7 @@
                     planner.probed(host, outcome, Some(report.load()).filter(|_| !report.failed));
                 }
             }
-            News::Marks(marks, returns) => {
+            ShareEvent::Marks(marks, returns) => {
                 let drained = marks.since(&Subject::Conductor(me.into())).is_some();
                 *self.marks.borrow_mut() = (marks, returns);
                 self.lay_marks().await;
@@ -106,8 +106,8 @@
                     drain(drained);
                 }
             }
-            News::Learnt(figures) => planner.adopt(figures.curves, figures.means),
-            News::CaughtUp(well) => drop(self.caught_up.send_replace(Some(well))),
+            ShareEvent::Learnt(figures) => planner.adopt(figures.curves, figures.means),
+            ShareEvent::CaughtUp(well) => drop(self.caught_up.send_replace(Some(well))),
         }
     }
 
@@ -167,7 +167,7 @@
         let failed = matches!(outcome, Outcome::Unreachable | Outcome::TimedOut);
         let (in_flight, memory) = (load.and_then(|l| l.in_flight), load.and_then(|l| l.memory));
         if let Some(id) = self.fleet.named(host) {
-            self.handle.tell(Told::Report(id, Report { failed, in_flight, memory }));
+            self.handle.tell(StateUpdate::Report(id, Report { failed, in_flight, memory }));
         }
     }
 }
--- a/src/peers/link.rs
+++ b/src/peers/link.rs
@@ -16,7 +16,7 @@
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use super::{FRAME_MOST, Hello, Word};
+use super::{FRAME_MOST, Hello, PeerMessage};
 use crate::control::state::Session;
 use crate::ledger::types::{decode, encode};
 
@@ -34,9 +34,9 @@
 
 /// What links tell.
 #[derive(Debug)]
-pub enum News {
+pub enum LinkEvent {
     /// A word of this peer.
-    Word(String, Box<Word>),
+    Message(String, Box<PeerMessage>),
     /// This peer's address refused a connection. The session is the one known before it was begun.
     Refused(String, Option<Session>),
     /// The link to this peer is up.
@@ -64,7 +64,7 @@
 /// Hears others, for ever. A connection that does not begin with a fitting hello, or goes on with anything but words, is
 /// closed; that touches nothing else.
 pub async fn hear(
-    listener: TcpListener, cluster: Rc<str>, me: Rc<str>, version: u16, news: mpsc::Sender<News>,
+    listener: TcpListener, cluster: Rc<str>, me: Rc<str>, version: u16, news: mpsc::Sender<LinkEvent>,
 ) {
     let permits = std::sync::Arc::new(Semaphore::new(HEARD_MOST));
     loop {
@@ -94,7 +94,7 @@
                 let Ok(word) = decode(&frame) else {
                     return tracing::warn!("peers: {} sent what is no word; its link is closed", hello.name);
                 };
-                if news.send(News::Word(hello.name.clone(), Box::new(word))).await.is_err() {
+                if news.send(LinkEvent::Message(hello.name.clone(), Box::new(word))).await.is_err() {
                     return;
                 }
             }
@@ -107,7 +107,7 @@
     cluster: Rc<str>,
     me: Rc<str>,
     version: u16,
-    news: mpsc::Sender<News>,
+    news: mpsc::Sender<LinkEvent>,
     ways: BTreeMap<String, Way>,
     /// Live sessions as far as known here, for proofs of an end.
     sessions: Rc<RefCell<BTreeMap<String, Session>>>,
@@ -117,7 +117,7 @@
 
 struct Way {
     address: (SocketAddr, bool),
-    words: mpsc::Sender<Word>,
+    words: mpsc::Sender<PeerMessage>,
     task: JoinHandle<()>,
 }
 
@@ -129,7 +129,7 @@
 
 impl Links {
     /// No links yet.
-    pub fn new(cluster: Rc<str>, me: Rc<str>, version: u16, news: mpsc::Sender<News>) -> Self {
+    pub fn new(cluster: Rc<str>, me: Rc<str>, version: u16, news: mpsc::Sender<LinkEvent>) -> Self {
         let (sessions, sent) = Default::default();
         Links { cluster, me, version, news, ways: BTreeMap::new(), sessions, sent }
     }
@@ -157,7 +157,7 @@
     }
 
     /// Sends a word, or drops it where the link is down or slow.
-    pub fn send(&self, to: &str, word: Word) {
+    pub fn send(&self, to: &str, word: PeerMessage) {
         if let Some(way) = self.ways.get(to) {
             let _ = way.words.try_send(word);
         }
@@ -180,14 +180,14 @@
     address: SocketAddr,
     /// When the address refuses connections, the peer's process has ended.
     refusal_proves: bool,
-    news: mpsc::Sender<News>,
+    news: mpsc::Sender<LinkEvent>,
     sessions: Rc<RefCell<BTreeMap<String, Session>>>,
     sent: Rc<RefCell<(u64, u64)>>,
 }
 
 impl Sender {
     /// Connects when there is something to say, and again when that breaks.
-    async fn run(self, mut words: mpsc::Receiver<Word>) {
+    async fn run(self, mut words: mpsc::Receiver<PeerMessage>) {
         let mut wait = AGAIN.0;
         while let Some(first) = words.recv().await {
             let known = self.sessions.borrow().get(&self.name).copied();
@@ -196,17 +196,17 @@
                 Ok(Err(fault))
                     if self.refusal_proves && fault.kind() == std::io::ErrorKind::ConnectionRefused =>
                 {
-                    let _ = self.news.send(News::Refused(self.name.clone(), known)).await;
+                    let _ = self.news.send(LinkEvent::Refused(self.name.clone(), known)).await;
                     None
                 }
                 _ => None,
             };
             if let Some((wire, version)) = connected {
                 wait = AGAIN.0;
-                let _ = self.news.send(News::Up(self.name.clone())).await;
+                let _ = self.news.send(LinkEvent::Up(self.name.clone())).await;
                 self.carry(wire, version, first, &mut words).await;
             }
-            let _ = self.news.send(News::Down(self.name.clone())).await;
+            let _ = self.news.send(LinkEvent::Down(self.name.clone())).await;
             let jitter = rand::rng().random_range(0.5..1.5);
             sleep(Duration::from_millis((wait as f64 * jitter) as u64)).await;
             wait = (wait * 2).min(AGAIN.1);
@@ -228,7 +228,8 @@
     }
 
     async fn carry(
-        &self, mut wire: Wire<TcpStream>, version: u16, first: Word, words: &mut mpsc::Receiver<Word>,
+        &self, mut wire: Wire<TcpStream>, version: u16, first: PeerMessage,
+        words: &mut mpsc::Receiver<PeerMessage>,
     ) {
         let mut word = first;
         loop {
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -12,7 +12,7 @@
 use crate::control::state::{Agreed, Command, Session};
 use crate::ledger::types::Message;
 use crate::replica::duty::{Ask, Lease};
-use crate::replica::ran::{Answer, Name, Try};
+use crate::replica::idempotency::{Answer, Name, Try};
 use crate::replica::sync::Say;
 
 /// The version of what crosses a link. One that speaks a later version says to others only what theirs knows.
@@ -64,7 +64,7 @@
 /// The moment at which a leader spoke, on its own clock, and in which term. A follower that knows it as its leader sends
 /// it back: by that a leader knows until when a majority held it for one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Beat {
+pub struct Heartbeat {
     /// The term.
     pub term: u64,
     /// The moment.
@@ -82,12 +82,15 @@
     pub agreed: Agreed,
 }
 
-impl Word {
+impl PeerMessage {
     /// The version that brought it.
     pub fn since(&self) -> u16 {
         match self {
-            Word::State(_) | Word::DutyAsk(_) | Word::DutyLease(_) => 3,
-            Word::Claim(..) | Word::Claimed(..) | Word::Withdraw(..) | Word::Ran(..) => 3,
+            PeerMessage::State(_) | PeerMessage::DutyAsk(_) | PeerMessage::DutyLease(_) => 3,
+            PeerMessage::Claim(..)
+            | PeerMessage::Claimed(..)
+            | PeerMessage::Withdraw(..)
+            | PeerMessage::Completed(..) => 3,
             _ => EARLIEST,
         }
     }
@@ -95,13 +98,13 @@
 
 /// What conductors tell each other.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Word {
+pub enum PeerMessage {
     /// Between the parts of the ledger.
     Ledger(Message),
     /// To the leader: where I stand.
-    Report(Report, Option<Beat>),
+    Report(Report, Option<Heartbeat>),
     /// From the leader.
-    Answer(Option<Grant>, Beat),
+    Answer(Option<Grant>, Heartbeat),
     /// To the leader: please propose this.
     Ask(Command),
     /// To one that is a member no longer and reports as one: this session is over.
@@ -125,5 +128,5 @@
     /// Nothing was sent under this claim, nor will be.
     Withdraw(Name, Try),
     /// What was sent under this claim ran to its end.
-    Ran(Name, Try),
+    Completed(Name, Try),
 }
--- a/src/replica/ran.rs
+++ b/src/replica/idempotency.rs
@@ -1,7 +1,7 @@
 //! Named requests that must not run twice, whichever conductors they are sent to and whichever of those die.
 //!
 //! Before a named request is sent on, its conductor claims the name at a majority of the members, itself among them. Each takes the
-//! first claim that it hears of and keeps it before it says so ([`Book`]). As two majorities meet, at most one claim of a name ever
+//! first claim that it hears of and keeps it before it says so ([`ClaimTable`]). As two majorities meet, at most one claim of a name ever
 //! has one ([`Claim`]).
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -74,18 +74,18 @@
 
 /// The names that one conductor keeps.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
-pub struct Book {
+pub struct ClaimTable {
     held: BTreeMap<Name, Held>,
     /// What has to be on disk before anything is answered: none for a name that goes.
     unsaved: BTreeMap<Name, Option<Held>>,
     tidied_at: Micros,
 }
 
-impl Book {
+impl ClaimTable {
     /// The names that a store held. How long ago they were heard of is not known, so their time begins anew.
     pub fn open(now: Micros, kept: impl IntoIterator<Item = (Name, Held)>) -> Self {
         let held = kept.into_iter().map(|(name, held)| (name, Held { at: now, ..held })).collect();
-        Book { held, unsaved: BTreeMap::new(), tidied_at: now }
+        ClaimTable { held, unsaved: BTreeMap::new(), tidied_at: now }
     }
 
     /// Takes a claim in. The answer may be given only after [`Self::take_unsaved`] is on disk.
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -1,15 +1,15 @@
 //! State that conductors share without agreeing on each change of it (`docs/STATE.md`). Nothing here does I/O or reads a clock.
 //!
 //! [`clock`] orders writers, [`marks`] holds what operators decided, [`store`] holds all merged state and its digests,
-//! [`sync`] brings two copies together, [`duty`] says who probes what, [`ran`] says which named requests may have run, and [`share`] is one conductor's part in all of it.
+//! [`sync`] brings two copies together, [`duty`] says who probes what, [`idempotency`] says which named requests may have run, and [`share`] is one conductor's part in all of it.
 
 #[cfg(feature = "cluster")]
 pub mod clock;
 #[cfg(feature = "cluster")]
 pub mod duty;
-pub mod marks;
 #[cfg(feature = "cluster")]
-pub mod ran;
+pub mod idempotency;
+pub mod marks;
 #[cfg(feature = "cluster")]
 pub mod share;
 #[cfg(feature = "cluster")]
--- a/src/replica/share.rs
+++ b/src/replica/share.rs
@@ -9,14 +9,14 @@
 
 use super::Owner;
 use super::duty::{ASK_EVERY, Ask, Holder, Keeper, Lease};
+use super::idempotency::{Answer, Claim, ClaimTable, Decision, Held, Name, Try};
 use super::marks::{Marks, Subject};
-use super::ran::{Answer, Book, Claim, Decision, Held, Name, Try};
 use super::store::{Figures, Key, Replica, Report, Spent, Value};
 use super::sync::{Reached, Say, Sync};
 use crate::api::Micros;
 use crate::control::state::{Agreed, Session};
 use crate::estimate::{Learnt, Spending};
-use crate::peers::Word;
+use crate::peers::PeerMessage;
 
 /// Between tellings of what changed: figures of spending change all the time.
 pub const TELL_EVERY: Micros = 200_000;
@@ -33,7 +33,7 @@
 
 /// What the serving side is told.
 #[derive(Clone, Debug)]
-pub enum News {
+pub enum ShareEvent {
     /// What all others have spent.
     Others(Spending),
     /// How others found instances.
@@ -112,7 +112,7 @@
     saved_at: Micros,
     tidied_at: Micros,
     marks: Marks,
-    book: Book,
+    book: ClaimTable,
     claims: BTreeMap<Try, Pending>,
     decided: Vec<(Try, Name, Decision)>,
     tries: u64,
@@ -120,8 +120,8 @@
     broken: bool,
     dirty: BTreeSet<Key>,
     urgent: bool,
-    out: Vec<(String, Word)>,
-    news: Vec<News>,
+    out: Vec<(String, PeerMessage)>,
+    news: Vec<ShareEvent>,
     told_caught_up: bool,
     /// The policy's revision in force and its document's digest, and who holds another document as the same revision.
     policy: (u64, u64),
@@ -151,7 +151,7 @@
             saved_at: now,
             tidied_at: Micros::MIN / 2,
             marks,
-            book: Book::open(now, kept.names),
+            book: ClaimTable::open(now, kept.names),
             claims: BTreeMap::new(),
             decided: Vec::new(),
             tries: 0,
@@ -237,7 +237,7 @@
         let own = if self.broken { Answer::Full } else { self.book.claim(now, name, of) };
         claim.answered(&self.me, own);
         for to in members.into_iter().filter(|to| *to != self.me) {
-            self.out.push((to, Word::Claim(name, of)));
+            self.out.push((to, PeerMessage::Claim(name, of)));
         }
         self.claims.insert(of, Pending { name, claim });
         Some(of)
@@ -247,14 +247,14 @@
     pub fn withdraw(&mut self, name: Name, of: Try, members: &BTreeSet<String>) {
         self.book.withdraw(name, of);
         let others = members.iter().filter(|to| **to != self.me);
-        self.out.extend(others.map(|to| (to.clone(), Word::Withdraw(name, of))));
+        self.out.extend(others.map(|to| (to.clone(), PeerMessage::Withdraw(name, of))));
     }
 
     /// A request that was sent under its claim ran to its end.
     pub fn ran(&mut self, now: Micros, name: Name, of: Try, members: &BTreeSet<String>) {
         self.book.ran(now, name, of);
         let others = members.iter().filter(|to| **to != self.me);
-        self.out.extend(others.map(|to| (to.clone(), Word::Ran(name, of))));
+        self.out.extend(others.map(|to| (to.clone(), PeerMessage::Completed(name, of))));
     }
 
     /// Claims that have come to an end.
@@ -265,9 +265,9 @@
     // ---- From others ----
 
     /// A word of another conductor. `authority`: this one leads, and a majority knew it as its leader lately.
-    pub fn hear(&mut self, now: Micros, from: &str, word: Word, agreed: &Agreed, authority: bool) {
+    pub fn hear(&mut self, now: Micros, from: &str, word: PeerMessage, agreed: &Agreed, authority: bool) {
         match word {
-            Word::State(Say::Policy(revision, digest)) => {
+            PeerMessage::State(Say::Policy(revision, digest)) => {
                 if (revision, digest) == self.policy {
                     self.policy_apart.remove(from);
                 } else if revision == self.policy.0 && self.policy_apart.insert(from.to_owned()) {
@@ -275,28 +275,28 @@
                     tracing::error!("state: {from} has another document as the policy's revision {revision}");
                 }
             }
-            Word::State(say) => {
+            PeerMessage::State(say) => {
                 let (out, news) = self.sync.hear(now, &mut self.replica, from, agreed.members.len(), say);
-                self.out.extend(out.into_iter().map(|(to, say)| (to, Word::State(say))));
+                self.out.extend(out.into_iter().map(|(to, say)| (to, PeerMessage::State(say))));
                 self.merged(now, news);
             }
-            Word::DutyAsk(ask) => {
+            PeerMessage::DutyAsk(ask) => {
                 let lease = self.keep(now, ask, agreed, authority);
-                self.out.extend(lease.map(|lease| (from.to_owned(), Word::DutyLease(lease))));
+                self.out.extend(lease.map(|lease| (from.to_owned(), PeerMessage::DutyLease(lease))));
             }
-            Word::DutyLease(lease) => self.duties.lock().granted(&lease),
-            Word::Claim(name, of) => {
+            PeerMessage::DutyLease(lease) => self.duties.lock().granted(&lease),
+            PeerMessage::Claim(name, of) => {
                 // What cannot be kept is not said.
                 let answer = if self.broken { Answer::Full } else { self.book.claim(now, name, of) };
-                self.out.push((from.to_owned(), Word::Claimed(of, answer)));
+                self.out.push((from.to_owned(), PeerMessage::Claimed(of, answer)));
             }
-            Word::Claimed(of, answer) => {
+            PeerMessage::Claimed(of, answer) => {
                 if let Some(pending) = self.claims.get_mut(&of) {
                     pending.claim.answered(from, answer);
                 }
             }
-            Word::Withdraw(name, of) => self.book.withdraw(name, of),
-            Word::Ran(name, of) => self.book.ran(now, name, of),
+            PeerMessage::Withdraw(name, of) => self.book.withdraw(name, of),
+            PeerMessage::Completed(name, of) => self.book.ran(now, name, of),
             _ => {}
         }
     }
@@ -304,7 +304,7 @@
     /// The way to this conductor is there again: the two copies are compared at once, not when its turn comes.
     pub fn met(&mut self, name: &str) {
         let say = self.sync.root(&self.replica, name);
-        self.out.push((name.to_owned(), Word::State(say)));
+        self.out.push((name.to_owned(), PeerMessage::State(say)));
     }
 
     fn keep(&mut self, now: Micros, ask: Ask, agreed: &Agreed, authority: bool) -> Option<Lease> {
@@ -335,7 +335,7 @@
             self.settle_marks(now);
         }
         if !reports.is_empty() {
-            self.news.push(News::Reports(reports));
+            self.news.push(ShareEvent::Reports(reports));
         }
     }
 
@@ -355,7 +355,7 @@
             (Key::Return(name), Value::Return(held)) => Some((name.clone(), held.value?)),
             _ => None,
         });
-        self.news.push(News::Marks(self.marks.clone(), returns.collect()));
+        self.news.push(ShareEvent::Marks(self.marks.clone(), returns.collect()));
     }
 
     // ---- Time ----
@@ -413,9 +413,9 @@
             match leader {
                 Some(leader) if leader == self.me => {
                     // Its own word counts like another's, and needs a majority's as much.
-                    self.out.push((self.me.clone(), Word::DutyAsk(ask)));
+                    self.out.push((self.me.clone(), PeerMessage::DutyAsk(ask)));
                 }
-                Some(leader) => self.out.push((leader.to_owned(), Word::DutyAsk(ask))),
+                Some(leader) => self.out.push((leader.to_owned(), PeerMessage::DutyAsk(ask))),
                 None => {}
             }
         }
@@ -433,18 +433,18 @@
         let said = self.sync.due(now, &mut self.replica, heard);
         for (to, say) in said {
             if matches!(say, Say::Root(..)) && self.policy.0 > 0 {
-                self.out.push((to.clone(), Word::State(Say::Policy(self.policy.0, self.policy.1))));
+                self.out.push((to.clone(), PeerMessage::State(Say::Policy(self.policy.0, self.policy.1))));
             }
-            self.out.push((to, Word::State(say)));
+            self.out.push((to, PeerMessage::State(say)));
         }
         if let Some(well) = self.sync.caught_up().filter(|_| !self.told_caught_up) {
             self.told_caught_up = true;
             self.tell_marks();
-            self.news.extend(self.replica.best_learnt().map(News::Learnt));
-            self.news.push(News::CaughtUp(well));
+            self.news.extend(self.replica.best_learnt().map(ShareEvent::Learnt));
+            self.news.push(ShareEvent::CaughtUp(well));
         }
         if now >= self.told_at.saturating_add(TELL_EVERY) {
-            self.news.push(News::Others(self.replica.others(now)));
+            self.news.push(ShareEvent::Others(self.replica.others(now)));
             let told: Vec<_> = heard.iter().map(|name| (*name).to_owned()).collect();
             self.tell_to(now, &told);
         }
@@ -465,7 +465,7 @@
         if decision != Decision::Send {
             self.book.withdraw(pending.name, of);
             let others = pending.claim.members().filter(|to| **to != self.me);
-            self.out.extend(others.map(|to| (to.clone(), Word::Withdraw(pending.name, of))));
+            self.out.extend(others.map(|to| (to.clone(), PeerMessage::Withdraw(pending.name, of))));
         }
         self.decided.push((of, pending.name, decision));
     }
@@ -479,7 +479,8 @@
         let mut bytes = 0;
         let mut say = |word: &mut Vec<(Key, Value)>| {
             let items = std::mem::take(word);
-            self.out.extend(heard.iter().map(|to| (to.clone(), Word::State(Say::Items(items.clone())))));
+            self.out
+                .extend(heard.iter().map(|to| (to.clone(), PeerMessage::State(Say::Items(items.clone())))));
         };
         for item in changed {
             bytes += 64;
@@ -518,7 +519,7 @@
             tracing::error!("state: nothing can be kept any more; named requests are refused");
         }
         for (_, word) in &mut self.out {
-            if let Word::Claimed(_, answer @ Answer::Yes) = word {
+            if let PeerMessage::Claimed(_, answer @ Answer::Yes) = word {
                 *answer = Answer::Full;
             }
         }
@@ -527,12 +528,12 @@
     }
 
     /// What is to be sent, and to whom; to this conductor itself as well.
-    pub fn outbox(&mut self) -> Vec<(String, Word)> {
+    pub fn outbox(&mut self) -> Vec<(String, PeerMessage)> {
         std::mem::take(&mut self.out)
     }
 
     /// News for the serving side.
-    pub fn news(&mut self) -> Vec<News> {
+    pub fn news(&mut self) -> Vec<ShareEvent> {
         std::mem::take(&mut self.news)
     }
 
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -378,7 +378,7 @@
 /// Shared state in the same store: what was kept comes back; a damaged item is left out, a damaged name is not forgotten.
 #[test]
 fn a_shelf_keeps_items_and_names_and_tells_damaged_ones_apart() {
-    use croftsill::replica::ran::{Held, Name, Stage, Try};
+    use croftsill::replica::idempotency::{Held, Name, Stage, Try};
     use croftsill::replica::share::Unsaved;
     use croftsill::replica::store::{Key, Replica};
     let folder = tempfile::tempdir().expect("a folder");
--- a/tests/lists.rs
+++ b/tests/lists.rs
@@ -9,12 +9,12 @@
 use bytes::Bytes;
 use croftsill::api::{HostId, Outcome, Role, Settings};
 use croftsill::node::counters::Counters;
-use croftsill::node::door::Door;
 use croftsill::node::list::discovery::Directory;
 use croftsill::node::list::fleet::Fleet;
 use croftsill::node::list::membership::{Membership, Targets};
 use croftsill::node::list::pace::Pace;
 use croftsill::node::planner::Planner;
+use croftsill::node::policy_gate::PolicyGate;
 use croftsill::node::process::readiness::Readiness;
 use croftsill::node::process::shutdown::Shutdown;
 use croftsill::node::process::start::{Given, become_ready};
@@ -230,7 +230,7 @@
     let (planner, _orders) = Planner::start(settings.clone(), seed, clock, None);
     let pool = Rc::new(Pool::new(limits, counters.clone()));
     let upstream = Rc::new(Upstream::new(pool, Dialect::Platform, counters.clone()));
-    (Core { planner, upstream, counters, door: Door::open() }, clock)
+    (Core { planner, upstream, counters, policy_gate: PolicyGate::open() }, clock)
 }
 
 fn conductor(
@@ -450,7 +450,13 @@
                         let shutdown = Shutdown::default();
                         let given = Given { known: true, inherited: false };
                         let caught_up = std::future::ready(());
-                        spawn_local(become_ready(told, given, Door::open(), caught_up, shutdown.clone()));
+                        spawn_local(become_ready(
+                            told,
+                            given,
+                            PolicyGate::open(),
+                            caught_up,
+                            shutdown.clone(),
+                        ));
                         shutdown
                     })
                     .collect();
--- a/tests/policy_model.rs
+++ b/tests/policy_model.rs
@@ -76,7 +76,7 @@
     Pass,
     Propose,
     Apply(usize),
-    Word { leader: usize, from: usize },
+    PeerMessage { leader: usize, from: usize },
     Report(usize),
     Hear { leader: usize, from: usize },
     Receive(usize),
@@ -185,7 +185,7 @@
             }
             let hear = (0..self.nodes).filter(|&k| world.nodes[k].up && world.nodes[k].coordinator.is_some());
             if !self.travels {
-                out.extend(hear.map(|leader| Step::Word { leader, from: n }));
+                out.extend(hear.map(|leader| Step::PeerMessage { leader, from: n }));
             } else {
                 out.push(Step::Report(n));
                 if node.report.is_some() {
@@ -224,7 +224,7 @@
                 let node = &mut world.nodes[n];
                 node.report = Some(node.gate.report(now));
             }
-            Step::Word { leader, from } => {
+            Step::PeerMessage { leader, from } => {
                 let node = &mut world.nodes[from];
                 node.report = Some(node.gate.report(now));
                 let heard = self.next_state(&world, Step::Hear { leader, from })?;
--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -6,10 +6,12 @@
 use croftsill::api::Micros;
 use croftsill::control::state::{Agreed, Session};
 use croftsill::estimate::{Curve, Fading, Spending};
-use croftsill::peers::Word;
+use croftsill::peers::PeerMessage;
 use croftsill::replica::clock::{AHEAD_MOST, Hybrid, Stamp};
+use croftsill::replica::idempotency::{
+    Answer, ClaimTable, Decision, Held, KEPT, NAMES_MOST, Name, Stage, Try,
+};
 use croftsill::replica::marks::{Dot, Marks, Subject};
-use croftsill::replica::ran::{Answer, Book, Decision, Held, KEPT, NAMES_MOST, Name, Stage, Try};
 use croftsill::replica::share::{Kept, Share};
 use croftsill::replica::store::{FRESH, Figures, Key, Lww, Owned, Replica, Report, Spent, Unfit, Value};
 use croftsill::replica::sync::{CATCH_UP_MOST, SOURCE_MOST, Say, Sync};
@@ -663,7 +665,7 @@
     share.applied(NOW, &agreed);
     let digest = croftsill::estimate::key(&document);
     let mut hear = |say| {
-        share.hear(NOW, "b", Word::State(say), &agreed, false);
+        share.hear(NOW, "b", PeerMessage::State(say), &agreed, false);
         share.status(NOW, &agreed)["set_aside"].as_array().map_or(0, Vec::len)
     };
     assert_eq!((hear(Say::Policy(3, digest)), hear(Say::Policy(2, 9))), (0, 0), "the same, and an older one");
@@ -677,10 +679,10 @@
     let (mut share, _) = Share::new("a", Session(1), NOW, Kept::default());
     let agreed = Agreed::default();
     let of = share.claim(NOW, Name(1), members()).expect("room");
-    share.hear(NOW, "b", Word::Claim(Name(2), attempt(9, 1)), &agreed, false);
+    share.hear(NOW, "b", PeerMessage::Claim(Name(2), attempt(9, 1)), &agreed, false);
     assert!(!share.unsaved(NOW).names.is_empty());
     share.store_failed();
-    let yes = |(_, word): &(String, Word)| matches!(word, Word::Claimed(_, Answer::Yes));
+    let yes = |(_, word): &(String, PeerMessage)| matches!(word, PeerMessage::Claimed(_, Answer::Yes));
     assert!(!share.outbox().iter().any(yes), "a claim was granted that is not on disk");
     assert_eq!(share.decided(), [(of, Name(1), Decision::Refuse)]);
     let of = share.claim(NOW, Name(3), members()).expect("room");
@@ -727,7 +729,7 @@
 
 #[test]
 fn a_name_is_the_first_claim_s_and_is_kept_before_anything_is_said() {
-    let mut book = Book::default();
+    let mut book = ClaimTable::default();
     let name = Name::new("club", "order-1");
     assert_ne!(name, Name::new("clu", "border-1"));
     assert_eq!(book.claim(NOW, name, attempt(1, 1)), Answer::Yes);
@@ -745,7 +747,7 @@
     );
     let kept: Vec<_> =
         book.take_unsaved().into_iter().filter_map(|(name, held)| Some((name, held?))).collect();
-    let mut back = Book::open(NOW + 5 * KEPT, kept);
+    let mut back = ClaimTable::open(NOW + 5 * KEPT, kept);
     assert_eq!(back.claim(NOW + 5 * KEPT, name, attempt(4, 1)), Answer::Taken(attempt(1, 1), Stage::Ran));
 }
 
@@ -753,7 +755,7 @@
 fn a_flood_of_names_is_turned_down_and_none_is_forgotten_before_its_time() {
     let name = |n: usize| Name(n as u128);
     let held = |n: u64| Held { of: attempt(1, n), stage: Stage::Ran, at: NOW };
-    let mut book = Book::open(NOW, (0..NAMES_MOST).map(|n| (name(n), held(n as u64))));
+    let mut book = ClaimTable::open(NOW, (0..NAMES_MOST).map(|n| (name(n), held(n as u64))));
     assert_eq!(book.claim(NOW + S, name(NAMES_MOST), attempt(2, 1)), Answer::Full);
     assert!(matches!(book.claim(NOW + S, name(3), attempt(2, 1)), Answer::Taken(_, Stage::Ran)));
     assert_eq!(
--- a/tests/state_model.rs
+++ b/tests/state_model.rs
@@ -8,7 +8,9 @@
 use croftsill::control::AUTHORITY;
 use croftsill::control::state::Session;
 use croftsill::replica::duty::{Holder, Keeper, Lease};
-use croftsill::replica::ran::{Answer, Book, CLAIM_MOST, Claim, Decision, Held, Name, Stage, Try};
+use croftsill::replica::idempotency::{
+    Answer, CLAIM_MOST, Claim, ClaimTable, Decision, Held, Name, Stage, Try,
+};
 use stateright::{Checker, Model, Property};
 
 /// Most states looked at in CI; `CROFTSILL_MODEL_STATES` asks for more.
@@ -250,7 +252,7 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Peer {
-    book: Book,
+    book: ClaimTable,
     disk: BTreeMap<Name, Held>,
     /// The claim that it has on its way, and its try.
     claim: Option<(Claim, Try)>,
@@ -329,7 +331,7 @@
     type Action = ClaimAct;
 
     fn init_states(&self) -> Vec<ClaimWorld> {
-        let peer = Peer { book: Book::default(), disk: BTreeMap::new(), claim: None, tries: 0 };
+        let peer = Peer { book: ClaimTable::default(), disk: BTreeMap::new(), claim: None, tries: 0 };
         vec![ClaimWorld { peers: vec![peer; 3], net: BTreeSet::new(), sent: Vec::new(), restarts: 0 }]
     }
 
@@ -394,7 +396,7 @@
             ClaimAct::TimeOut(n) => self.settle(&mut w, n, CLAIM_MOST),
             ClaimAct::Restart(n) => {
                 let peer = &mut w.peers[n];
-                peer.book = Book::open(0, peer.disk.clone());
+                peer.book = ClaimTable::open(0, peer.disk.clone());
                 peer.claim = None;
                 w.restarts += 1;
             }
