Let writers read prompts for want of readers alone, and wait where nothing can be withdrawn

Followed through the logs of all conductors: at 10 to 25 s writers that had been sent unread prompts answered 65 of them after 12.9 s in the median and timed out with 58 (window 15 s), and states sent to the same writers as a second step timed out 126 times of 200; writers that were never sent a prompt served theirs in 3 s. Three of five reads were not used by anybody.

Cause: Router::pair sent a prompt to a writer wherever its expected reading time, learnt at readers, was within the aim, and the low tier without any test; a writer reads between the steps of all its streams. Own prompts at such a host were not counted (Router::reading). And where `cancelling` is off, Router::send gave attempts up after four times what was expected, though the work ran on and the next attempt came on top.

Change: beside readers in service only mixed hosts read by themselves, and only in time; writers where no reader serves. Without withdrawal an attempt has the share of the time left that leaves room for another.

Tests: two in tests/mechanism.rs; both fail without the change.

--- a/src/logic/attempts.rs
+++ b/src/logic/attempts.rs
@@ -22,9 +22,8 @@
     }
 
     pub(super) fn unplace(&mut self, id: RequestId) {
-        let Some(r) = self.requests.get_mut(&id) else { return };
-        let Some(host) = r.writer.take().and_then(|w| self.hosts.get_mut(&w)) else { return };
-        host.streams.remove(&id);
+        let writer = self.requests.get_mut(&id).and_then(|r| r.writer.take());
+        writer.and_then(|w| self.hosts.get_mut(&w)).map(|host| host.streams.remove(&id));
     }
 
     pub(super) fn send_write(&mut self, now: Micros, id: RequestId, writer: HostId, out: &mut Vec<Action>) {
@@ -44,7 +43,8 @@
         let left = (r.deadline - now).max(1) as f64;
         // A silent host shows only so. The share leaves room for another try, unless all is slow.
         let share = if left * TRY_SHARE > expected * 1.5 { left * TRY_SHARE } else { left };
-        let mut time_out = (expected * TIMEOUT_MULTIPLE + TIMEOUT_EXTRA).min(share) as Micros;
+        let patience = if self.set.limits.cancel { TIMEOUT_MULTIPLE } else { f64::INFINITY }; // it runs on
+        let mut time_out = (expected * patience + TIMEOUT_EXTRA).min(share) as Micros;
         (r.sent, r.begun) = (r.sent + 1, now);
         if r.ask.whole && host.role != Role::Read {
             // Its silence tells nothing of the host until all is written, so it may take all the time left.
@@ -231,10 +231,9 @@
 
     pub(super) fn may_run_anywhere(&self, now: Micros, id: RequestId) -> bool {
         let Some(r) = self.requests.get(&id) else { return true };
-        let needed = if r.reader.is_some() { 1 } else { 2 };
-        let writers = || self.hosts.iter().filter(|(_, h)| h.role != Role::Read);
-        r.sent + needed <= r.by.limits.max_attempts
-            && (r.may_have_run.is_none() || writers().any(|(&w, _)| self.may_run_at(now, r, w)))
+        let sends = r.sent + if r.reader.is_some() { 1 } else { 2 };
+        let fits = |(&at, h): (&HostId, &Host)| h.role != Role::Read && self.may_run_at(now, r, at);
+        sends <= r.by.limits.max_attempts && (r.may_have_run.is_none() || self.hosts.iter().any(fits))
     }
 
     /// Spends on one more attempt than a request needs, if the budget over all routers has it.
--- a/src/logic/pairing.rs
+++ b/src/logic/pairing.rs
@@ -44,10 +44,11 @@
             let spills = chance(at.id.0, r.ask.id.0) > at.stay;
             Some((Some(at.id), pick(spills).or_else(|| pick(!spills))?))
         });
-        // Exception: where no reader passes, a mixed host that passes reads by itself, last as it slows it.
+        // Last, as it slows all streams: a mixed host in time reads by itself, a writer for want of readers.
         let in_time = |h: &Host| self.read_time(now, h, r) * margin(h) <= (r.aim_at - now) as f64;
-        let reads = |h: &Host| h.role == Role::Both || self.set.limits.writers_read;
-        let fits = |h: &Host| reads(h) && (!tested || in_time(h));
+        let alone = self.hosts.values().all(|h| h.role != Role::Read || h.phase != Phase::Serving);
+        let reads = |h: &Host| h.role == Role::Both || self.set.limits.writers_read && alone;
+        let fits = |h: &Host| reads(h) && (in_time(h) || alone && !tested);
         paired.or_else(|| Some((None, self.choose_writer(now, r, None, 0.0, tested, fits)?)))
     }
 
@@ -112,7 +113,8 @@
     /// Unread tokens of the own reads out, and of others' as far as the reader told of them.
     pub(super) fn reading(&self, now: Micros, host: &Host) -> f64 {
         let out = host.pending.keys().filter_map(|id| self.requests.get(id));
-        let own: f64 = out.filter(|r| r.stage == Stage::Reading).map(|r| r.unread + READ_EXTRA).sum();
+        let reads = |r: &&Request| r.stage == Stage::Reading || r.reader.is_none();
+        let own: f64 = out.filter(reads).map(|r| r.unread + READ_EXTRA).sum();
         own + host.crowd.map_or(0.0, |c| c.get(now, self.all.crowd)) * (self.all.unread.value + READ_EXTRA)
     }
 
@@ -166,8 +168,7 @@
         for h in self.hosts.values_mut() {
             let (near, at) = cells.get(&h.cell).copied().unwrap_or_default();
             let share = (at / f64::max(writers, 1.0)) / (near / f64::max(readers, 1.0)).max(1e-9);
-            h.stay = CELL_SLACK * share;
-            h.spare = (1.0 - 1.0 / share.max(1e-9)).max(SPARE_LEAST);
+            (h.stay, h.spare) = (CELL_SLACK * share, (1.0 - 1.0 / share.max(1e-9)).max(SPARE_LEAST));
         }
     }
 }
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -600,3 +600,36 @@
     let (few, many) = (gap(10), gap(100));
     assert!(few > 0.0 && (many * 10.0 - few).abs() < 1.0, "{few} and {many}");
 }
+
+/// Reading slows all streams of a writer, so where writers may read they do so for want of readers alone, not beside crowded ones.
+#[test]
+fn a_writer_reads_by_itself_only_where_no_reader_serves() {
+    let mut set = settings();
+    set.limits.writers_read = true;
+    let mut rig = Rig::new(set, &[member(READER, 0), member(WRITER, 1)]);
+    let sent: Vec<_> = (0..60).filter_map(|id| sent_to(&rig.request(id))).collect();
+    assert!(!sent.is_empty() && sent.iter().all(|&host| host == READER), "{sent:?}");
+    // Late ones of the low tier do not go there either.
+    let late: Vec<_> = (0..30).filter_map(|_| sent_to(&rig.tick(50 * MS))).collect();
+    assert!(late.iter().all(|&host| host == READER), "{late:?}");
+    let gone = Member { phase: Phase::Gone, ..member(READER, 0) };
+    rig.step(0, &[Event::Hosts { whole: false, members: vec![gone] }]);
+    assert_eq!(sent_to(&rig.request(99)), Some(WRITER));
+}
+
+/// What cannot be withdrawn runs on when it is given up, in the way of all that comes later: it has most of the time left.
+#[test]
+fn an_attempt_that_cannot_be_withdrawn_is_waited_for() {
+    let time_out = |cancel| {
+        let mut set = settings();
+        set.limits.cancel = cancel;
+        let mut rig = Rig::new(set, &[member(READER, 0), member(WRITER, 1)]);
+        let sent = rig.request(1).into_iter().find_map(|action| match action {
+            Action::Send { time_out, .. } => Some(time_out),
+            _ => None,
+        });
+        sent.expect("it is sent")
+    };
+    assert_eq!(time_out(false), 4 * S * 6 / 10);
+    assert!(time_out(true) < time_out(false));
+}
