Split front/intake.rs by concern: a connection's state, its byte stream, bodies, room

Change, no behaviour: front/intake/ with connection (ConnectionState), stream, body, and the room itself; `tell_to_go` names the three steps by which a connection is made to leave.

Tests: names only.

--- a/src/node/front/chat.rs
+++ b/src/node/front/chat.rs
@@ -15,7 +15,9 @@
 use serde_json::json;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use super::intake::{Arrival, BodyError, Intake, read_body};
+use super::intake::Intake;
+use super::intake::body::{BodyError, read_body};
+use super::intake::connection::Arrival;
 use super::spiffe::Peer;
 use super::{Pieces, Reply, begin};
 use crate::api::*;
--- /dev/null
+++ b/src/node/front/intake/connection.rs
@@ -0,0 +1,251 @@
+//! Where a client's connection stands: what of a request has come, and whether it may make room for others.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use hyper::Request;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use tokio::sync::Notify;
+use tokio::time::{Instant, timeout};
+
+/// For a client to send a whole request: an error or a close is owed within 3 s.
+pub(super) const REQUEST_TIME: Duration = Duration::from_millis(2_600);
+/// Buffer of a client's connection; heads that are longer are refused.
+pub const BUFFER: usize = 32 * 1024;
+/// For a connection that has said nothing before it may make room: its first bytes may be on their way.
+const SILENT_LEAST: Duration = Duration::from_millis(250);
+/// For one that has begun a request, since it last sent a part of it.
+const BEGUN_LEAST: Duration = Duration::from_millis(1_000);
+/// For one whose client does not read the end of its answer.
+const FLUSH_LEAST: Duration = Duration::from_millis(1_000);
+/// Unfit requests after which a connection is closed.
+const UNFIT_MOST: u32 = 8;
+
+/// Where a client's connection stands, in the order in which they make room for others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Stage {
+    /// It has its last answer and is only read.
+    Leaving,
+    /// It has said nothing yet.
+    Silent,
+    /// Its requests are answered.
+    Idle,
+    /// A head has begun.
+    Begun,
+    /// The head is there, and its body not yet whole.
+    Arriving,
+    /// Its answer is complete, and bytes of it are still to be written.
+    Flushing,
+    /// A request is open.
+    Open,
+}
+
+/// How a request arrived, for the fronts.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// When the client could have begun to send it.
+    pub(super) since: Instant,
+    /// Its body has been read to its end.
+    pub(super) whole: Arc<AtomicBool>,
+    /// Its head gave the body's length in two ways; a part of it may be meant as another request.
+    pub conflicting: bool,
+}
+
+/// A client's connection, as its task, its bytes and the intake see it.
+pub struct ConnectionState {
+    pub(super) stage: Cell<Stage>,
+    pub(super) since: Cell<Instant>,
+    /// When bytes last came.
+    pub(super) heard: Cell<Instant>,
+    head: RefCell<Vec<u8>>,
+    head_whole: Cell<bool>,
+    /// Bytes that came behind the head.
+    pub(super) behind: Cell<u64>,
+    /// Of them, how many the open request has.
+    pub(super) body: Cell<u64>,
+    unfit: Cell<u32>,
+    /// Whether the open request's body has been read to its end; none while no request waits for its answer.
+    whole: RefCell<Option<Arc<AtomicBool>>>,
+    making_room: Notify,
+    /// A request's head was taken.
+    head_taken: Notify,
+}
+
+impl ConnectionState {
+    pub(super) fn new() -> Rc<Self> {
+        Rc::new(ConnectionState {
+            stage: Cell::new(Stage::Silent),
+            since: Cell::new(Instant::now()),
+            heard: Cell::new(Instant::now()),
+            head: RefCell::default(),
+            head_whole: Cell::new(false),
+            behind: Cell::new(0),
+            body: Cell::new(0),
+            unfit: Cell::new(0),
+            whole: RefCell::default(),
+            making_room: Notify::new(),
+            head_taken: Notify::new(),
+        })
+    }
+
+    pub(super) fn turn(&self, stage: Stage) {
+        self.stage.set(stage);
+        self.since.set(Instant::now());
+    }
+
+    /// Bytes came. A head is kept as it came until its request is taken: the library shows only one of two
+    /// headers that contradict each other.
+    pub(super) fn came(&self, mut bytes: &[u8]) {
+        self.heard.set(Instant::now());
+        if self.head_whole.get() {
+            return self.behind.set(self.behind.get() + bytes.len() as u64);
+        }
+        let mut head = self.head.borrow_mut();
+        if head.is_empty() {
+            let begin = bytes.iter().position(|b| !matches!(b, b'\r' | b'\n')).unwrap_or(bytes.len());
+            bytes = &bytes[begin..];
+            if bytes.is_empty() {
+                return;
+            }
+            // A first request has had its time since the connection came up.
+            if self.stage.get() == Stage::Silent {
+                self.stage.set(Stage::Begun);
+            } else if matches!(self.stage.get(), Stage::Idle | Stage::Flushing) {
+                self.turn(Stage::Begun);
+            }
+        }
+        let from = head.len().saturating_sub(3);
+        head.extend_from_slice(bytes);
+        let ends = |at: &usize| head[*at..].starts_with(b"\n\r\n") || head[*at..].starts_with(b"\n\n");
+        if let Some(at) = (from..head.len()).find(ends) {
+            let end = at + if head[at + 1] == b'\n' { 2 } else { 3 };
+            self.behind.set((head.len() - end) as u64);
+            head.truncate(end);
+            self.head_whole.set(true);
+        } else if head.len() > 2 * BUFFER {
+            // The library has refused it by now.
+            self.head_whole.set(true);
+        }
+    }
+
+    /// Where it stands: a request is open once it is whole, as far as its head tells how long it is.
+    pub(super) fn stage(&self) -> Stage {
+        match self.stage.get() {
+            Stage::Open if self.behind.get() < self.body.get() => Stage::Arriving,
+            stage => stage,
+        }
+    }
+
+    /// Since when nothing speaks for keeping it: what sends its request in pieces is still at it.
+    pub(super) fn quiet_since(&self) -> Instant {
+        match self.stage() {
+            Stage::Begun | Stage::Arriving => self.heard.get(),
+            _ => self.since.get(),
+        }
+    }
+
+    pub(super) fn may_go(&self) -> bool {
+        let least = match self.stage() {
+            Stage::Leaving | Stage::Idle => Duration::ZERO,
+            Stage::Silent => SILENT_LEAST,
+            Stage::Begun | Stage::Arriving => BEGUN_LEAST,
+            Stage::Flushing => FLUSH_LEAST,
+            Stage::Open => return false,
+        };
+        self.quiet_since().elapsed() >= least
+    }
+
+    /// Waits until no head is half there, for as long as a whole request may take.
+    pub async fn between_heads(&self) {
+        let rest = async {
+            while self.stage.get() == Stage::Begun {
+                self.head_taken.notified().await;
+            }
+        };
+        let _ = timeout(REQUEST_TIME, rest).await;
+    }
+
+    /// A request's head was taken.
+    pub fn taken(&self, request: &Request<Incoming>) -> Arrival {
+        let since = self.since.get();
+        self.turn(Stage::Open);
+        self.body.set(if let Framed::Length(length) = Framed::of(request) { length } else { 0 });
+        self.head_taken.notify_waiters();
+        let head = self.head.take();
+        let has = |name: &str| {
+            let mut names = head.split(|&b| b == b'\n').filter_map(|l| l.split(|&b| b == b':').next());
+            names.any(|n| n.trim_ascii().eq_ignore_ascii_case(name.as_bytes()))
+        };
+        let chunked = request.headers().contains_key(TRANSFER_ENCODING);
+        let unsure = !self.head_whole.get() || has(CONTENT_LENGTH.as_str());
+        let whole = Arc::<AtomicBool>::default();
+        self.whole.replace(Some(whole.clone()));
+        Arrival { since, whole, conflicting: chunked && unsure }
+    }
+
+    /// Whether a request has come whole and waits for its answer: what comes now belongs to no request that this connection
+    /// will still answer.
+    pub(super) fn waits(&self) -> bool {
+        self.whole.borrow().as_ref().is_some_and(|whole| whole.load(Ordering::Relaxed))
+    }
+
+    /// A request has its answer, or the head of it; whether the connection can go on. One that brought more, or
+    /// less, than its request cannot: where the next one begins would not be known.
+    pub fn answered(&self, framed: Framed, unfit: bool) -> bool {
+        self.unfit.set(self.unfit.get() + u32::from(unfit));
+        self.whole.take();
+        self.head_whole.set(false);
+        self.body.set(0);
+        framed == Framed::Length(self.behind.replace(0)) && self.unfit.get() < UNFIT_MOST
+    }
+
+    /// Its answer is complete; it is idle once that is written.
+    pub fn complete(&self) {
+        if self.stage.get() == Stage::Open {
+            self.turn(Stage::Flushing);
+        }
+    }
+
+    /// All that there was to write is with the system.
+    pub(super) fn flushed(&self) {
+        if self.stage.get() == Stage::Flushing {
+            self.turn(Stage::Idle);
+        }
+    }
+
+    /// Has it make room for others. It is not chosen again before its task has taken the step.
+    pub(super) fn tell_to_go(&self) {
+        self.body.set(0);
+        self.turn(Stage::Open);
+        self.making_room.notify_one();
+    }
+
+    /// Waits until it has to make room for others.
+    pub async fn made_room(&self) {
+        self.making_room.notified().await;
+    }
+}
+
+/// How long a request's body is, by its head.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framed {
+    /// So many bytes.
+    Length(u64),
+    /// In chunks.
+    Chunks,
+}
+
+impl Framed {
+    /// As a request's head says.
+    pub fn of<B>(request: &Request<B>) -> Self {
+        if request.headers().contains_key(TRANSFER_ENCODING) {
+            return Framed::Chunks;
+        }
+        let length = request.headers().get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
+        Framed::Length(length.unwrap_or(0))
+    }
+}
--- /dev/null
+++ b/src/node/front/intake/mod.rs
@@ -0,0 +1,148 @@
+//! Room for what clients bring: connections, and bytes of bodies. Who brings nothing makes room for who does.
+//!
+//! [`connection`] is where one connection stands, [`stream`] watches its bytes, [`body`] reads a request's body.
+
+pub mod body;
+pub mod connection;
+pub mod stream;
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use connection::{ConnectionState, Stage};
+use tokio::sync::Notify;
+use tokio::time::timeout;
+
+use crate::node::counters::{Counters, add};
+
+/// Connections past the limit that are still taken, to be told so and closed: at most, and as a part of the limit.
+const SPARE: (usize, usize) = (16, 8);
+/// Part of a limit, in hundredths, that one of two processes keeps to in an upgrade: both have descriptors of their own
+/// beside those counted here.
+const SHARE: usize = 42;
+/// Between looks for a connection that may make room, while none may.
+const LOOK_AGAIN: Duration = Duration::from_millis(20);
+
+/// A limit's part while two processes of this conductor live.
+pub fn shared(whole: usize) -> usize {
+    (whole * SHARE / 100).max(1)
+}
+
+/// Room for what clients bring.
+pub struct Intake {
+    connections: RefCell<BTreeMap<u64, Rc<ConnectionState>>>,
+    next: Cell<u64>,
+    most: Cell<usize>,
+    left: Notify,
+    bytes: Cell<usize>,
+    most_bytes: Cell<usize>,
+    /// Of connections and bytes, while no other process has a part.
+    whole: (usize, usize),
+    counters: Rc<Counters>,
+}
+
+/// A connection's place in the intake, given back when dropped.
+pub struct Place {
+    intake: Rc<Intake>,
+    number: u64,
+    /// Where its connection stands.
+    pub state: Rc<ConnectionState>,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.intake.connections.borrow_mut().remove(&self.number);
+        self.intake.left.notify_one();
+    }
+}
+
+impl Intake {
+    /// Room for so many connections and so many bytes of bodies.
+    pub fn new(most: usize, most_bytes: usize, counters: Rc<Counters>) -> Rc<Self> {
+        let (next, bytes) = (Cell::new(0), Cell::new(0));
+        let (left, whole) = (Notify::new(), (most, most_bytes));
+        let (most, most_bytes) = (Cell::new(most), Cell::new(most_bytes));
+        Rc::new(Intake {
+            connections: RefCell::default(),
+            next,
+            most,
+            left,
+            bytes,
+            most_bytes,
+            whole,
+            counters,
+        })
+    }
+
+    /// Keeps to a part of the room while another process of this conductor has the other, or takes the whole again.
+    pub fn share(&self, part: bool) {
+        let of = |whole| if part { shared(whole) } else { whole };
+        self.most.set(of(self.whole.0));
+        self.most_bytes.set(of(self.whole.1));
+        let over = self.connections.borrow().len().saturating_sub(self.most.get());
+        (0..over).for_each(|_| self.make_room());
+    }
+
+    /// Keeps to so many connections at most, within the room that there is; none lifts that.
+    pub fn limit(&self, most: Option<usize>) {
+        self.most.set(most.map_or(self.whole.0, |most| most.min(self.whole.0)));
+        let over = self.connections.borrow().len().saturating_sub(self.most.get());
+        (0..over).for_each(|_| self.make_room());
+    }
+
+    fn spare(&self) -> usize {
+        SPARE.0.min(self.most.get() / SPARE.1)
+    }
+
+    /// Whether more clients are connected than are served.
+    pub fn crowded(&self) -> bool {
+        self.connections.borrow().len() > self.most.get()
+    }
+
+    /// Takes a connection in. Past the limit another one makes room, if it has no request open.
+    pub fn enter(self: &Rc<Self>) -> Place {
+        let (number, connection) = (self.next.get(), ConnectionState::new());
+        self.next.set(number + 1);
+        if self.connections.borrow().len() >= self.most.get() {
+            self.make_room();
+        }
+        self.connections.borrow_mut().insert(number, connection.clone());
+        Place { intake: self.clone(), number, state: connection }
+    }
+
+    /// Waits until one more connection can be taken, if only to be told that there is no room.
+    pub async fn vacancy(&self) {
+        while self.connections.borrow().len() >= self.most.get() + self.spare() {
+            self.make_room();
+            let _ = timeout(LOOK_AGAIN, self.left.notified()).await;
+        }
+    }
+
+    /// Whether so many requests are open that one more cannot be taken on.
+    pub fn full(&self) -> bool {
+        let open = |connection: &&Rc<ConnectionState>| connection.stage() == Stage::Open;
+        self.crowded() && self.connections.borrow().values().filter(open).count() > self.most.get()
+    }
+
+    /// Of those that may go, the first by stage and time.
+    fn make_room(&self) {
+        let connections = self.connections.borrow();
+        let may_go = connections.values().filter(|connection| connection.may_go());
+        if let Some(connection) =
+            may_go.min_by_key(|connection| (connection.stage(), connection.quiet_since()))
+        {
+            match connection.stage() {
+                // Counted when it was told to go.
+                Stage::Leaving => {}
+                Stage::Begun | Stage::Arriving => add(&self.counters.evicted_begun),
+                _ => add(&self.counters.evicted),
+            }
+            connection.tell_to_go();
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/node/front/intake/stream.rs
@@ -0,0 +1,119 @@
+//! A client's byte stream, watched by the state of its connection; it outlives the HTTP library's use of it.
+
+use std::cell::RefCell;
+use std::future::poll_fn;
+use std::io;
+use std::mem::MaybeUninit;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf};
+use tokio::time::{sleep, timeout};
+
+use super::connection::{ConnectionState, Stage};
+
+/// How long a connection is still read after its last answer: closed over unread bytes, it would be reset and the
+/// answer lost.
+const LINGER: Duration = Duration::from_secs(2);
+/// The same while the process ends, which waits for it.
+const LINGER_AT_END: Duration = Duration::from_millis(500);
+/// Between reads of what nobody wants, so that it does not use up the core.
+const LINGER_PAUSE: Duration = Duration::from_millis(1);
+/// Read at once of what nobody wants.
+const SCRATCH: usize = 32 * 1024;
+
+/// A client's byte stream, watched by its connection; it outlives the library's use of it.
+pub struct Stream<I> {
+    io: Rc<RefCell<I>>,
+    connection: Rc<ConnectionState>,
+}
+
+impl<I: AsyncRead + AsyncWrite + Unpin> Stream<I> {
+    /// Watches a stream.
+    pub fn new(io: I, connection: Rc<ConnectionState>) -> Self {
+        Stream { io: Rc::new(RefCell::new(io)), connection }
+    }
+
+    /// A second handle.
+    pub fn handle(&self) -> Self {
+        Stream { io: self.io.clone(), connection: self.connection.clone() }
+    }
+
+    /// Waits until the client has closed the connection while its request waits for the answer. The library does not look for
+    /// that behind bytes that it has not taken, so these are read past: a connection on which anything came behind a request
+    /// closes with the answer to it. The library has to have had its turn to read before each look.
+    pub async fn gone(mut self) {
+        let connection = self.connection.clone();
+        loop {
+            let read =
+                poll_fn(|cx| if connection.waits() { self.poll_discard(cx) } else { Poll::Pending }).await;
+            if read == 0 {
+                return;
+            }
+            connection.behind.set(connection.behind.get() + read as u64);
+            sleep(LINGER_PAUSE).await;
+        }
+    }
+
+    /// Ends the sending side and reads on for a while, until the client closes or others need the room; shorter where the
+    /// process ends.
+    pub async fn leave(mut self, ending: bool) {
+        let connection = self.connection.clone();
+        connection.turn(Stage::Leaving);
+        let last = async {
+            let _ = self.shutdown().await;
+            while poll_fn(|cx| self.poll_discard(cx)).await > 0 {
+                sleep(LINGER_PAUSE).await;
+            }
+        };
+        tokio::select! {
+            _ = timeout(if ending { LINGER_AT_END } else { LINGER }, last) => {}
+            () = connection.made_room() => {}
+        }
+    }
+
+    /// Reads past what came, so many bytes; none at the end.
+    fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<usize> {
+        let mut scratch = [MaybeUninit::uninit(); SCRATCH];
+        let mut buffer = ReadBuf::uninit(&mut scratch);
+        let read = ready!(Pin::new(&mut *self.io.borrow_mut()).poll_read(cx, &mut buffer));
+        Poll::Ready(read.map_or(0, |()| buffer.filled().len()))
+    }
+}
+
+impl<I: AsyncRead + Unpin> AsyncRead for Stream<I> {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut *self.io.borrow_mut()).poll_read(cx, buf))?;
+        self.connection.came(&buf.filled()[before..]);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl<I: AsyncWrite + Unpin> AsyncWrite for Stream<I> {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut *self.io.borrow_mut()).poll_write(cx, data)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut *self.io.borrow_mut()).poll_write_vectored(cx, data)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.io.borrow().is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(Pin::new(&mut *self.io.borrow_mut()).poll_flush(cx))?;
+        self.connection.flushed();
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.io.borrow_mut()).poll_shutdown(cx)
+    }
+}
--- a/src/node/front/intake/tests.rs
+++ b/src/node/front/intake/tests.rs
@@ -1,24 +1,26 @@
+use tokio::time::Instant;
+
 use super::*;
 
 /// A connection at this stage, begun and last heard so many milliseconds ago.
-fn line(intake: &Rc<Intake>, stage: Stage, begun: u64, heard: u64) -> Place {
+fn connection(intake: &Rc<Intake>, stage: Stage, begun: u64, heard: u64) -> Place {
     let place = intake.enter();
     let ago = |ms| Instant::now().checked_sub(Duration::from_millis(ms)).expect("a clock that runs");
-    place.line.stage.set(stage);
-    place.line.since.set(ago(begun));
-    place.line.heard.set(ago(heard));
+    place.state.stage.set(stage);
+    place.state.since.set(ago(begun));
+    place.state.heard.set(ago(heard));
     if stage == Stage::Arriving {
-        place.line.stage.set(Stage::Open);
-        place.line.body.set(10);
+        place.state.stage.set(Stage::Open);
+        place.state.body.set(10);
     }
     place
 }
 
 /// Which of them makes room.
 fn goes(places: &[&Place], intake: &Intake) -> Option<usize> {
-    let before: Vec<_> = places.iter().map(|p| (p.line.stage(), p.line.since.get())).collect();
+    let before: Vec<_> = places.iter().map(|p| (p.state.stage(), p.state.since.get())).collect();
     intake.make_room();
-    let after = places.iter().map(|p| (p.line.stage(), p.line.since.get()));
+    let after = places.iter().map(|p| (p.state.stage(), p.state.since.get()));
     before.into_iter().zip(after).position(|(before, after)| before != after)
 }
 
@@ -29,13 +31,13 @@
 #[test]
 fn what_still_sends_its_request_is_not_evicted_for_one_that_brings_nothing() {
     let intake = intake();
-    let slow = line(&intake, Stage::Begun, 1_900, 300);
-    let body = line(&intake, Stage::Arriving, 2_000, 900);
+    let slow = connection(&intake, Stage::Begun, 1_900, 300);
+    let body = connection(&intake, Stage::Arriving, 2_000, 900);
     assert_eq!(goes(&[&slow, &body], &intake), None);
-    let stuck = line(&intake, Stage::Begun, 1_200, 1_100);
+    let stuck = connection(&intake, Stage::Begun, 1_200, 1_100);
     assert_eq!(goes(&[&slow, &body, &stuck], &intake), Some(2));
     assert_eq!(intake.counters.evicted_begun.get(), 1);
-    let idle = line(&intake, Stage::Idle, 0, 0);
+    let idle = connection(&intake, Stage::Idle, 0, 0);
     assert_eq!(goes(&[&slow, &body, &idle], &intake), Some(2));
     assert_eq!(intake.counters.evicted.get(), 1);
 }
@@ -43,8 +45,8 @@
 #[test]
 fn a_body_that_stops_halfway_makes_room_and_an_open_request_never_does() {
     let intake = intake();
-    let open = line(&intake, Stage::Open, 60_000, 60_000);
-    let body = line(&intake, Stage::Arriving, 1_500, 1_500);
+    let open = connection(&intake, Stage::Open, 60_000, 60_000);
+    let body = connection(&intake, Stage::Arriving, 1_500, 1_500);
     assert_eq!(goes(&[&open, &body], &intake), Some(1));
     assert_eq!(goes(&[&open, &body], &intake), None);
 }
@@ -52,11 +54,11 @@
 #[test]
 fn only_open_requests_make_it_full() {
     let intake = intake();
-    let _idle = [(); 2].map(|()| line(&intake, Stage::Idle, 0, 0));
-    let open = [(); 3].map(|()| line(&intake, Stage::Open, 0, 0));
+    let _idle = [(); 2].map(|()| connection(&intake, Stage::Idle, 0, 0));
+    let open = [(); 3].map(|()| connection(&intake, Stage::Open, 0, 0));
     intake.most.set(2);
     assert!(intake.full());
-    open[0].line.turn(Stage::Idle);
+    open[0].state.turn(Stage::Idle);
     assert!(intake.crowded() && !intake.full());
 }
 
@@ -75,12 +77,12 @@
 #[test]
 fn an_answer_that_is_still_written_is_not_cut_off_to_make_room() {
     let intake = intake();
-    let writing = line(&intake, Stage::Open, 0, 0);
-    writing.line.complete();
+    let writing = connection(&intake, Stage::Open, 0, 0);
+    writing.state.complete();
     assert_eq!(goes(&[&writing], &intake), None);
-    writing.line.flushed();
+    writing.state.flushed();
     assert_eq!(goes(&[&writing], &intake), Some(0));
-    let unread = line(&intake, Stage::Flushing, 1_100, 1_100);
+    let unread = connection(&intake, Stage::Flushing, 1_100, 1_100);
     assert_eq!(goes(&[&unread], &intake), Some(0));
 }
 
@@ -88,8 +90,8 @@
 #[test]
 fn a_connection_that_leaves_is_the_first_to_make_room_and_is_counted_once() {
     let intake = intake();
-    let leaving = line(&intake, Stage::Leaving, 0, 0);
-    let silent = line(&intake, Stage::Silent, 1_000, 1_000);
+    let leaving = connection(&intake, Stage::Leaving, 0, 0);
+    let silent = connection(&intake, Stage::Silent, 1_000, 1_000);
     assert_eq!(goes(&[&silent, &leaving], &intake), Some(1));
     assert_eq!(intake.counters.evicted.get(), 0);
 }
--- a/src/node/front/mod.rs
+++ b/src/node/front/mod.rs
@@ -35,7 +35,10 @@
 use crate::node::process::shutdown::{Pending, STILL_ARRIVING, Shutdown};
 use crate::node::upstream::attempt::Payload;
 use crate::node::upstream::events::{Piece, StreamBroken};
-use intake::{BUFFER, BodyPermit, Framed, Intake, Line, Place, Stream};
+use intake::body::BodyPermit;
+use intake::connection::{BUFFER, ConnectionState, Framed};
+use intake::stream::Stream;
+use intake::{Intake, Place};
 use spiffe::{Identities, Peer};
 
 /// For a client to send a head, or to stay idle between requests. After 2 s a connection without an open request may
@@ -53,13 +56,13 @@
 /// A stream's body: pieces as they come, cut off where the stream broke.
 pub struct Pieces {
     pieces: mpsc::Receiver<Piece>,
-    line: Option<Rc<Line>>,
+    state: Option<Rc<ConnectionState>>,
 }
 
 impl Pieces {
     /// The body for a stream.
     pub fn new(pieces: mpsc::Receiver<Piece>) -> Self {
-        Pieces { pieces, line: None }
+        Pieces { pieces, state: None }
     }
 
     /// The whole of it in one piece; one that goes on and on is spoilt.
@@ -77,7 +80,7 @@
 
 impl Drop for Pieces {
     fn drop(&mut self) {
-        self.line.iter().for_each(|line| line.complete());
+        self.state.iter().for_each(|state| state.complete());
     }
 }
 
@@ -187,7 +190,7 @@
                 spawn_local(async move {
                     let proven = tokio::select! {
                         proven = timeout(HEAD_TIME, identities.prove(socket)) => proven,
-                        () = place.line.made_room() => return,
+                        () = place.state.made_room() => return,
                     };
                     match proven {
                         Ok(Ok((stream, peer))) => {
@@ -206,21 +209,21 @@
 
 /// One request of a connection: how it arrived is added, and a connection that cannot go on is closed behind it.
 async fn one_request<S>(
-    service: S, line: Rc<Line>, mut request: Request<Incoming>,
+    service: S, state: Rc<ConnectionState>, mut request: Request<Incoming>,
 ) -> Result<Reply, Infallible>
 where
     S: Service<Request<Incoming>, Response = Reply, Error = Infallible>,
 {
-    let (arrival, framed) = (line.taken(&request), Framed::of(&request));
+    let (arrival, framed) = (state.taken(&request), Framed::of(&request));
     request.extensions_mut().insert(arrival);
     let mut reply = service.oneshot(request).await?;
     let unfit = reply.status().is_client_error() && reply.status() != StatusCode::TOO_MANY_REQUESTS;
-    if !line.answered(framed, unfit) {
+    if !state.answered(framed, unfit) {
         reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     match reply.body_mut() {
-        Either::Left(_) => line.complete(),
-        Either::Right(pieces) => pieces.line = Some(line),
+        Either::Left(_) => state.complete(),
+        Either::Right(pieces) => pieces.state = Some(state),
     }
     Ok(reply)
 }
@@ -230,13 +233,13 @@
     I: AsyncRead + AsyncWrite + Unpin + 'static,
     S: Service<Request<Incoming>, Response = Reply, Error = Infallible> + Clone + 'static,
 {
-    let line = place.line.clone();
+    let state = place.state.clone();
     let (used, mut first) = watch::channel(false);
-    let stream = Stream::new(io, line.clone());
+    let stream = Stream::new(io, state.clone());
     let (last, watched) = (stream.handle(), stream.handle());
     let service = tower::service_fn(move |request| {
         used.send_replace(true);
-        one_request(service.clone(), line.clone(), request)
+        one_request(service.clone(), state.clone(), request)
     });
     let served = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -245,13 +248,13 @@
         .serve_connection(TokioIo::new(stream), TowerToHyperService::new(service));
     // Its own box: what is left of the connection is let go of before the last bytes are read past.
     let mut served = Box::pin(served);
-    let line = place.line.clone();
+    let state = place.state.clone();
     let ending = async {
         shutdown.once(Readiness::lets_go).await;
         // Guards the requests that still arrive: the library closes a connection that has brought nothing
         // yet at once, and the client's request with it.
         let _ = timeout(STILL_ARRIVING, first.wait_for(|used| *used)).await;
-        line.between_heads().await;
+        state.between_heads().await;
     };
     let (mut gone, mut ending) = (pin!(watched.gone()), pin!(ending));
     let mut ends = false;
@@ -260,7 +263,7 @@
         tokio::select! {
             biased;
             // First: a request that crosses this must not be begun and then dropped.
-            () = place.line.made_room(), if !ends => break Err("it makes room for others".to_owned()),
+            () = place.state.made_room(), if !ends => break Err("it makes room for others".to_owned()),
             ended = &mut served => break ended.map_err(|fault| fault.to_string()),
             () = &mut gone => break Err("the client has gone".to_owned()),
             () = &mut ending, if !ends => {
--- a/src/node/front/platform.rs
+++ b/src/node/front/platform.rs
@@ -15,7 +15,9 @@
 use hyper::{Method, Request, Response, StatusCode};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_128};
 
-use super::intake::{Arrival, BodyError, Intake, read_body};
+use super::intake::Intake;
+use super::intake::body::{BodyError, read_body};
+use super::intake::connection::Arrival;
 use super::{Pieces, Reply, begin};
 use crate::api::*;
 use crate::node::Core;
