Review cases: bodies as long as their prompts are told to be; a steadier hold-up

The reads of case 2 wait without using up the cores, and the moments of its hold-ups lie closer together.

--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -116,7 +116,6 @@
             *round = Round {
                 window: ms(WINDOW_MS),
                 lead: ms(8),
-                class: "route-save".into(),
                 ..Round::default()
             };
             if trouble != "0" {
@@ -143,7 +142,7 @@
                 sleep(ms(5));
             }
             if let Some(gate) = fleet.gate() {
-                let at = gate + Duration::from_micros(400 + 250 * u64::from(number % 12));
+                let at = gate + Duration::from_micros(300 + 150 * u64::from(number % 11));
                 sleep(at.saturating_duration_since(Instant::now() + ms(1)));
                 while Instant::now() < at {
                     std::hint::spin_loop();
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -165,8 +165,7 @@
 pub struct Round {
     /// Writers whose connections are reset under requests that have begun.
     pub resets: HashSet<String>,
-    /// The class that this happens to, and until when after its first attempt a request of it may be repeated.
-    pub class: String,
+    /// Until when after its first attempt a request may be repeated.
     pub window: Duration,
     /// How long before the end of the first window the second reads answer.
     pub lead: Duration,
@@ -353,11 +352,7 @@
             round.broken.contains_key(id) && round.repeated.insert(id.to_owned())
         };
         if let Some(gate) = self.gate().filter(|_| waits) {
-            let left = gate.saturating_duration_since(Instant::now());
-            thread::sleep(left.saturating_sub(ms(1)));
-            while Instant::now() < gate {
-                std::hint::spin_loop();
-            }
+            thread::sleep(gate.saturating_duration_since(Instant::now()));
         }
     }
 
@@ -681,13 +676,20 @@
     line: Option<BufReader<TcpStream>>,
 }
 
+/// The most tokens that a request may produce.
+const MAX_OUT: u32 = 374;
+
 /// A request as the protocol page shows it.
 pub fn request_text(id: &str, class: &str, deadline: u64, session: usize, prompt: u32) -> String {
-    let body = r#"{"model":"chat","stream":true,"max_tokens":100,"messages":[{"role":"user","content":"..."}]}"#;
+    // A token is four characters.
+    let prompt_text = "word".repeat(prompt as usize);
+    let body = format!(
+        r#"{{"model":"chat","stream":true,"max_tokens":{MAX_OUT},"messages":[{{"role":"user","content":"{prompt_text}"}}]}}"#
+    );
     format!(
         "POST /v1/chat/completions HTTP/1.1\r\nHost: app.svc\r\nRequest-Id: {id}\r\nRequest-Class: {class}\r\n\
          Affinity-Key: {session:016x}\r\nRequest-Timeout-Ms: {deadline}\r\n\
-         Request-Info: prefix={:016x},prompt_len={prompt},prefix_len=4000,max_out=100\r\n\
+         Request-Info: prefix={:016x},prompt_len={prompt},prefix_len=4000,max_out={MAX_OUT}\r\n\
          Content-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
         session % 7 + 1,
         body.len()
