Log how a stream ended, where it is forwarded and where its answer leaves

From outside it cannot be told whether the error of the cut is lost on its way to the front, the front's HTTP library ends the answer by itself, or the instance's stream ended.

Change: debug lines "stream: moved" (was the front told, how many chunks waited), "stream: forwarding ended" and, at the front, "answer: cut off" or "answer: ended with its last chunk", each with the request's id.

--- a/src/node/front/chat.rs
+++ b/src/node/front/chat.rs
@@ -309,7 +309,7 @@
         let headers = HeaderMap::from_iter([(CONTENT_TYPE, HeaderValue::from_static("application/json"))]);
         #[cfg(feature = "cluster")]
         claimed.iter_mut().for_each(GrantedClaim::used);
-        let (streamed, payload) = (!ask.is_unary, Payload { id, target, headers, body });
+        let (streamed, payload) = (!ask.is_unary, Payload { id: id.clone(), target, headers, body });
         let answer = begin(&self.core, &self.shutdown, ask, (payload, permit), ()).await.answer;
         #[cfg(feature = "cluster")]
         if let Some(claim) = claimed {
@@ -322,12 +322,12 @@
         }
         let mut reply = match answer {
             Answer::Events { form, pieces } if streamed && form.is_event_stream() => {
-                let mut reply = Response::new(Either::Right(Pieces::new(pieces)));
+                let mut reply = Response::new(Either::Right(Pieces::new(pieces, id)));
                 form.content_type.map(|kind| reply.headers_mut().insert(CONTENT_TYPE, kind));
                 reply
             }
             // Nothing of a whole answer is shown before it is known to be whole.
-            Answer::Events { form, pieces } => match Pieces::new(pieces).whole().await {
+            Answer::Events { form, pieces } => match Pieces::new(pieces, id).whole().await {
                 Ok(text) => whole(form.status, form.content_type, text),
                 Err(_) => Fault::Failed.reply(),
             },
--- a/src/node/front/mod.rs
+++ b/src/node/front/mod.rs
@@ -10,7 +10,7 @@
 use std::convert::Infallible;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -58,13 +58,14 @@
 /// A stream's body: pieces as they come, cut off where the stream broke.
 pub struct Pieces {
     pieces: mpsc::Receiver<StreamChunk>,
+    request: Rc<str>,
     state: Option<Rc<ConnectionState>>,
 }
 
 impl Pieces {
-    /// The body for a stream.
-    pub fn new(pieces: mpsc::Receiver<StreamChunk>) -> Self {
-        Pieces { pieces, state: None }
+    /// The body for the stream of the request with this id.
+    pub fn new(pieces: mpsc::Receiver<StreamChunk>, request: Rc<str>) -> Self {
+        Pieces { pieces, request, state: None }
     }
 
     /// The whole of it in one piece; one that goes on and on is spoilt.
@@ -93,7 +94,13 @@
     fn poll_frame(
         mut self: Pin<&mut Self>, cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, StreamError>>> {
-        self.pieces.poll_recv(cx).map(|piece| piece.map(|p| p.map(Frame::data)))
+        let piece = ready!(self.pieces.poll_recv(cx));
+        match &piece {
+            Some(Ok(_)) => {}
+            Some(Err(error)) => tracing::debug!(request = %self.request, %error, "answer: cut off"),
+            None => tracing::debug!(request = %self.request, "answer: ended with its last chunk"),
+        }
+        Poll::Ready(piece.map(|piece| piece.map(Frame::data)))
     }
 }
 
--- a/src/node/front/platform.rs
+++ b/src/node/front/platform.rs
@@ -199,11 +199,12 @@
         let on_the_way = ON_THE_WAY.min(ask.time_left / ON_THE_WAY_PART);
         ask.time_left -= arrived.elapsed().as_micros() as Micros + on_the_way;
         let target = request.uri().path_and_query().cloned().ok_or(Malformed::Path)?;
-        let payload = Payload { id, target, headers: end_to_end_headers(request.headers()), body };
+        let payload =
+            Payload { id: id.clone(), target, headers: end_to_end_headers(request.headers()), body };
         let FinalAnswer { answer, revision } =
             begin(&self.core, &self.shutdown, ask, (payload, permit), open).await;
         let mut reply = match answer {
-            Answer::Events { form, pieces } => stream(form.content_type, pieces),
+            Answer::Events { form, pieces } => stream(form.content_type, Pieces::new(pieces, id)),
             Answer::Refused { retry_after } => refusal(retry_after),
             Answer::Failed => plain(StatusCode::BAD_GATEWAY, "the request failed and may have run\n"),
         };
@@ -321,10 +322,8 @@
     reply
 }
 
-fn stream(
-    content_type: Option<HeaderValue>, pieces: tokio::sync::mpsc::Receiver<super::StreamChunk>,
-) -> Reply {
-    let mut reply = Response::new(Either::Right(Pieces::new(pieces)));
+fn stream(content_type: Option<HeaderValue>, pieces: Pieces) -> Reply {
+    let mut reply = Response::new(Either::Right(pieces));
     let kind = content_type.unwrap_or(HeaderValue::from_static("text/event-stream"));
     reply.headers_mut().insert(CONTENT_TYPE, kind);
     reply
--- a/src/node/front/tests.rs
+++ b/src/node/front/tests.rs
@@ -14,7 +14,7 @@
                 }
             }
         });
-        Pieces::new(receiver).whole()
+        Pieces::new(receiver, "0a".into()).whole()
     };
     let most = WHOLE_MOST / piece.len();
     assert_eq!(whole(most).await.map(|text| text.len()), Ok(WHOLE_MOST));
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -325,6 +325,7 @@
 
         // 3. The stream. From its first event on it belongs to the client: no deadline applies and the request is never sent
         // again. The payload is dropped here because it is far larger than the buffered events.
+        let payload_id = payload.id.clone();
         drop((payload, permit));
         lease.stream_started();
         trace.is_answered = true;
@@ -341,11 +342,14 @@
                 passed = relay::forward_events(&mut events, &pieces) => passed,
                 () = move_requested(&mut handle) => {
                     // The client sends the request again to resume the stream.
-                    let _ = pieces.try_send(Err(StreamError::Cut));
+                    let is_told = pieces.try_send(Err(StreamError::Cut)).is_ok();
+                    let waiting_chunks = pieces.max_capacity() - pieces.capacity();
+                    tracing::debug!(request = %payload_id, is_told, waiting_chunks, "stream: moved");
                     RelayEnd::Broken(StreamError::Cut)
                 }
             }
         };
+        tracing::debug!(request = %payload_id, end = ?passed, "stream: forwarding ended");
         drop((events, pieces));
         let outcome = match passed {
             RelayEnd::Complete => (add(&counters.served), Outcome::Served).1,
