State the end of a stream, so that one cut short never ends as though it were whole

Cause: between a request's task and its front the end of a stream was not a message. A dropped sender meant complete. The cut was told by try_send into a channel of four chunks and its result thrown away: with a full channel the error was lost, the sender dropped, and the front wrote the last chunk. A task that ended in a panic would have done the same, and on the chat front shown a part of an answer with 200.

Change: node/answer_stream. The end is stated apart from the chunks, waits for no room, and a sender dropped without it is a cut. Both fronts read through it. So no path can end an answer as whole but the one that says so. An instance's error behind a full channel no longer waits for the client.

--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -37,6 +37,8 @@
     served,
     /// Requests answered with a stream that broke after its first event.
     broken,
+    /// Streams that were cut off before the process ended, for their clients to resume elsewhere. They count as broken, too.
+    streams_moved,
     /// Requests rejected by the decision module.
     refused,
     /// Requests answered as failed.
--- a/src/node/front/chat.rs
+++ b/src/node/front/chat.rs
@@ -321,13 +321,13 @@
             }
         }
         let mut reply = match answer {
-            Answer::Events { form, pieces } if streamed && form.is_event_stream() => {
-                let mut reply = Response::new(Either::Right(Pieces::new(pieces, id)));
+            Answer::Events { form, stream: events } if streamed && form.is_event_stream() => {
+                let mut reply = Response::new(Either::Right(Pieces::new(events, id)));
                 form.content_type.map(|kind| reply.headers_mut().insert(CONTENT_TYPE, kind));
                 reply
             }
             // Nothing of a whole answer is shown before it is known to be whole.
-            Answer::Events { form, pieces } => match Pieces::new(pieces, id).whole().await {
+            Answer::Events { form, stream: events } => match Pieces::new(events, id).whole().await {
                 Ok(text) => whole(form.status, form.content_type, text),
                 Err(_) => Fault::Failed.reply(),
             },
--- a/src/node/front/mod.rs
+++ b/src/node/front/mod.rs
@@ -23,12 +23,13 @@
 use hyper_util::service::TowerToHyperService;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 use tower::{Service, ServiceExt};
 
 use super::Core;
+use super::answer_stream::StreamReceiver;
 use super::counters::add;
 use super::request::{Answer, FinalAnswer, Responder, handle_request};
 use crate::api::NewRequest;
@@ -37,7 +38,7 @@
 use crate::node::process::shutdown::{Pending, Shutdown};
 use crate::node::uninterrupted::RetryInterrupted;
 use crate::node::upstream::attempt::Payload;
-use crate::node::upstream::events::{StreamChunk, StreamError};
+use crate::node::upstream::events::StreamError;
 use accept::Acceptor;
 use intake::body::BodyPermit;
 use intake::connection::{BUFFER, ConnectionState, Framed};
@@ -57,21 +58,21 @@
 
 /// A stream's body: pieces as they come, cut off where the stream broke.
 pub struct Pieces {
-    pieces: mpsc::Receiver<StreamChunk>,
+    stream: StreamReceiver,
     request: Rc<str>,
     state: Option<Rc<ConnectionState>>,
 }
 
 impl Pieces {
     /// The body for the stream of the request with this id.
-    pub fn new(pieces: mpsc::Receiver<StreamChunk>, request: Rc<str>) -> Self {
-        Pieces { pieces, request, state: None }
+    pub fn new(stream: StreamReceiver, request: Rc<str>) -> Self {
+        Pieces { stream, request, state: None }
     }
 
     /// The whole of it in one piece; one that goes on and on is spoilt.
     pub async fn whole(mut self) -> Result<Bytes, StreamError> {
         let mut text = BytesMut::new();
-        while let Some(piece) = self.pieces.recv().await {
+        while let Some(piece) = self.stream.next().await {
             text.extend_from_slice(&piece?);
             if text.len() > WHOLE_MOST {
                 return Err(StreamError::Malformed);
@@ -94,7 +95,7 @@
     fn poll_frame(
         mut self: Pin<&mut Self>, cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, StreamError>>> {
-        let piece = ready!(self.pieces.poll_recv(cx));
+        let piece = ready!(self.stream.poll_next(cx));
         match &piece {
             Some(Ok(_)) => {}
             Some(Err(error)) => tracing::debug!(request = %self.request, %error, "answer: cut off"),
--- a/src/node/front/platform.rs
+++ b/src/node/front/platform.rs
@@ -204,7 +204,7 @@
         let FinalAnswer { answer, revision } =
             begin(&self.core, &self.shutdown, ask, (payload, permit), open).await;
         let mut reply = match answer {
-            Answer::Events { form, pieces } => stream(form.content_type, Pieces::new(pieces, id)),
+            Answer::Events { form, stream: events } => stream(form.content_type, Pieces::new(events, id)),
             Answer::Refused { retry_after } => refusal(retry_after),
             Answer::Failed => plain(StatusCode::BAD_GATEWAY, "the request failed and may have run\n"),
         };
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -5,6 +5,7 @@
 //! commands from a [`planner`], and [`upstream`] carries out its exchanges with instances. The [`list`] of the fleet's
 //! instances and the life cycle of the [`process`] are kept beside that.
 
+pub mod answer_stream;
 pub mod counters;
 pub mod front;
 pub mod list;
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -7,9 +7,10 @@
 use std::task::Poll;
 use std::time::Duration;
 
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep_until};
 
+use super::answer_stream::{StreamReceiver, answer_stream};
 use super::counters::{Counters, add};
 use super::planner::{AttemptReport, RequestCommand, RequestHandle};
 use super::policy_gate::{GateRejection, policy_time_limit};
@@ -17,7 +18,7 @@
 use crate::api::{AttemptId, HostId, Load, Micros, NewRequest, Outcome};
 use crate::control::state::Revision;
 use crate::node::upstream::attempt::{InitialResult, Payload};
-use crate::node::upstream::events::{AnswerHead, StreamChunk, StreamError};
+use crate::node::upstream::events::{AnswerHead, StreamError};
 use crate::node::upstream::lease_keeper::LeaseKeeper;
 use crate::node::upstream::pool::CloseGuard;
 use crate::node::upstream::relay::{self, RelayEnd};
@@ -33,8 +34,8 @@
     Events {
         /// The form of the answer, as the instance declared it.
         form: AnswerHead,
-        /// The bytes of the answer as they arrive.
-        pieces: mpsc::Receiver<StreamChunk>,
+        /// The bytes of the answer as they arrive, and how they end.
+        stream: StreamReceiver,
     },
     /// The request was rejected, and a retry is safe.
     Refused {
@@ -333,26 +334,30 @@
             // An answer in one piece does not show the time to first token.
             handle.first_token(attempt, host, started_at.elapsed().as_micros() as Micros);
         }
-        let (pieces, receiver) = mpsc::channel(relay::MAX_WAITING_CHUNKS);
+        let (client, stream) = answer_stream(relay::MAX_WAITING_CHUNKS);
         let form = events.head().clone();
-        let passed = if is_settled || !responder.answer(Answer::Events { form, pieces: receiver }) {
+        let relay_end = if is_settled || !responder.answer(Answer::Events { form, stream }) {
             RelayEnd::ClientLeft
         } else {
             tokio::select! {
-                passed = relay::forward_events(&mut events, &pieces) => passed,
+                relay_end = relay::forward_events(&mut events, &client) => relay_end,
                 () = move_requested(&mut handle) => {
-                    // The client sends the request again to resume the stream.
-                    let is_told = pieces.try_send(Err(StreamError::Cut)).is_ok();
-                    let waiting_chunks = pieces.max_capacity() - pieces.capacity();
-                    tracing::debug!(request = %payload_id, is_told, waiting_chunks, "stream: moved");
-                    RelayEnd::Broken(StreamError::Cut)
+                    let waiting_chunks = client.waiting_chunks();
+                    tracing::debug!(request = %payload_id, waiting_chunks, "stream: moved");
+                    RelayEnd::Moved
                 }
             }
         };
-        tracing::debug!(request = %payload_id, end = ?passed, "stream: forwarding ended");
-        drop((events, pieces));
-        let outcome = match passed {
+        drop(events);
+        client.finish(relay_end.stream_end());
+        tracing::debug!(request = %payload_id, end = ?relay_end, "stream: forwarding ended");
+        let outcome = match relay_end {
             RelayEnd::Complete => (add(&counters.served), Outcome::Served).1,
+            RelayEnd::Moved => {
+                add(&counters.streams_moved);
+                add(&counters.broken);
+                Outcome::Broken
+            }
             RelayEnd::Broken(StreamError::Cut) => (add(&counters.broken), Outcome::Broken).1,
             RelayEnd::Broken(StreamError::Malformed) => (add(&counters.broken), Outcome::Spoilt).1,
             RelayEnd::ErrorEvent => (add(&counters.failed), Outcome::Error).1,
--- a/src/node/upstream/relay.rs
+++ b/src/node/upstream/relay.rs
@@ -1,8 +1,7 @@
 //! Forwards the events of a stream to the client, byte for byte.
 
-use tokio::sync::mpsc;
-
-use super::events::{EventStream, StreamChunk, StreamError};
+use super::events::{EventStream, StreamError};
+use crate::node::answer_stream::{StreamEnd, StreamSender};
 
 /// Most chunks of a stream that wait for a slow client. While as many wait, the instance's connection is not
 /// read.
@@ -17,12 +16,25 @@
     Broken(StreamError),
     /// The stream ended with an event that reports an error of the instance.
     ErrorEvent,
+    /// The stream was cut off before the process ends, for its client to resume it elsewhere.
+    Moved,
     /// The client disconnected.
     ClientLeft,
 }
 
+impl RelayEnd {
+    /// Returns the end of the stream that the client is told.
+    pub fn stream_end(self) -> StreamEnd {
+        match self {
+            RelayEnd::Complete | RelayEnd::ErrorEvent => Ok(()),
+            RelayEnd::Broken(error) => Err(error),
+            RelayEnd::Moved | RelayEnd::ClientLeft => Err(StreamError::Cut),
+        }
+    }
+}
+
 /// Forwards events until the stream ends or the client disconnects.
-pub async fn forward_events(events: &mut EventStream, client: &mpsc::Sender<StreamChunk>) -> RelayEnd {
+pub async fn forward_events(events: &mut EventStream, client: &StreamSender) -> RelayEnd {
     loop {
         let chunk = tokio::select! {
             () = client.closed() => return RelayEnd::ClientLeft,
@@ -30,16 +42,12 @@
         };
         match chunk {
             Some(Ok(bytes)) => {
-                if client.send(Ok(bytes)).await.is_err() {
+                if client.send(bytes).await.is_err() {
                     return RelayEnd::ClientLeft;
                 }
             }
-            Some(Err(error)) => {
-                // If the channel is full, the error waits until the slow client has read. A client that
-                // disconnects ends the wait.
-                let sent = client.send(Err(error)).await;
-                return if sent.is_ok() { RelayEnd::Broken(error) } else { RelayEnd::ClientLeft };
-            }
+            Some(Err(_)) if client.is_closed() => return RelayEnd::ClientLeft,
+            Some(Err(error)) => return RelayEnd::Broken(error),
             None if events.has_error() => return RelayEnd::ErrorEvent,
             None => return RelayEnd::Complete,
         }
--- a/tests/shutdown/around.rs
+++ b/tests/shutdown/around.rs
@@ -18,23 +18,27 @@
 const QUICK: Duration = Duration::from_millis(1_600);
 
 /// A program, and where its clients connect.
-struct Serving {
-    program: Program,
+pub struct Serving {
+    pub program: Program,
     base: String,
     address: String,
-    record: Record,
+    pub record: Record,
 }
 
 fn serving(front: Front, deadline_ms: u64, behaviour: Behaviour) -> Serving {
+    serving_as(&Scenario::new(front, deadline_ms, behaviour))
+}
+
+/// Starts the program as a scenario has it.
+pub fn serving_as(scenario: &Scenario) -> Serving {
     let (base, record) = (address(), Record::default());
-    let scenario = Scenario::new(front, deadline_ms, behaviour);
     let program = scenario.start(&base, &record);
     let address = format!("{base}:{}", scenario.port());
     Serving { program, base, address, record }
 }
 
 impl Serving {
-    fn client(&self, front: Front, arrival: Arrival, marker: &str) -> Client {
+    pub fn client(&self, front: Front, arrival: Arrival, marker: &str) -> Client {
         Client {
             address: self.address.clone(),
             front,
@@ -51,7 +55,7 @@
         socket
     }
 
-    fn terminate(&self) -> Instant {
+    pub fn terminate(&self) -> Instant {
         self.program.signal("TERM");
         Instant::now()
     }
--- a/tests/shutdown/clients.rs
+++ b/tests/shutdown/clients.rs
@@ -194,6 +194,14 @@
         Some((socket, ended.then(Instant::now)))
     }
 
+    /// Sends the request on a new connection.
+    pub fn send(&self) -> TcpStream {
+        let (head, body) = self.request(&self.marker);
+        let mut socket = self.connect().expect("it listens");
+        socket.write_all((head + &body).as_bytes()).expect("it reads");
+        socket
+    }
+
     /// Lives one exchange through; none where the connection was refused.
     pub fn run(self, start: &Start, ready: impl FnOnce()) -> Option<Exchange> {
         let (socket, sent) = self.bring(start, ready)?;
--- a/tests/shutdown/main.rs
+++ b/tests/shutdown/main.rs
@@ -7,6 +7,7 @@
 mod held_up;
 #[path = "../player/mod.rs"]
 mod player;
+mod slow_clients;
 mod stand_ins;
 mod verdict;
 
@@ -49,6 +50,8 @@
     deadline: Duration,
     behaviour: Behaviour,
     standing: Standing,
+    /// The level of the program's log.
+    log_level: &'static str,
 }
 
 /// The platform's configuration with this longest deadline for all classes.
@@ -117,7 +120,11 @@
         let list = READERS.iter().chain(&WRITERS).map(|name| target(base, name, "Ready"));
         let told = discovery(base, list.collect::<Vec<_>>().join(","));
         let (config, operators) = (configuration(base, self.deadline), format!("{base}:8082"));
-        let vars = [("LB_CONFIG", &*config), ("LB_OPERATOR", Path::new(&operators))];
+        let vars = [
+            ("LB_CONFIG", &*config),
+            ("LB_OPERATOR", Path::new(&operators)),
+            ("CROFTSILL_LOG", Path::new(self.log_level)),
+        ];
         let cluster = cluster_file(base);
         let words = ["--cluster", &*cluster.to_string_lossy()];
         let words = if self.standing == Standing::Clustered { &words[..] } else { &[] };
@@ -212,7 +219,7 @@
 impl Scenario {
     fn new(front: Front, deadline_ms: u64, behaviour: Behaviour) -> Self {
         let deadline = Duration::from_millis(deadline_ms);
-        Scenario { front, deadline, behaviour, standing: Standing::Alone }
+        Scenario { front, deadline, behaviour, standing: Standing::Alone, log_level: "info" }
     }
 }
 
--- a/tests/shutdown/stand_ins.rs
+++ b/tests/shutdown/stand_ins.rs
@@ -1,7 +1,8 @@
 //! Discovery and instances on loopback that record which requests they had whole.
 
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -9,6 +10,10 @@
 
 /// Between two events of a stream without end.
 const BETWEEN_EVENTS: Duration = Duration::from_millis(50);
+/// Content of a large event.
+const LARGE_EVENT_BYTES: usize = 16 * 1024;
+/// Without room for as long as this, the events of a stream are no longer taken.
+const STALLED_AFTER: Duration = Duration::from_millis(300);
 const STREAM_HEAD: &str =
     "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 const EVENT: &str =
@@ -28,22 +33,35 @@
     Never,
     /// With a first event at once, and further ones without end.
     Endless,
+    /// With large events without end, as fast as they are taken.
+    Flood,
 }
 
 /// What all instances of a test saw.
 #[derive(Clone, Default)]
-pub struct Record(Arc<Mutex<Forwarded>>);
+pub struct Record {
+    forwarded: Arc<Mutex<Forwarded>>,
+    /// A stream's events are no longer taken.
+    is_stalled: Arc<AtomicBool>,
+}
 
 impl Record {
     /// What was forwarded up to now.
     pub fn forwarded(&self) -> Forwarded {
-        self.0.lock().expect("no panic").clone()
+        self.forwarded.lock().expect("no panic").clone()
+    }
+
+    /// Waits until the events of a stream are no longer taken.
+    pub fn wait_until_stalled(&self) {
+        while !self.is_stalled.load(Ordering::Relaxed) {
+            std::thread::sleep(Duration::from_millis(1));
+        }
     }
 
     fn note(&self, head: &str, marker: &str, writer: bool) {
         let told = head.to_lowercase();
         let told = told.lines().find_map(|line| line.strip_prefix("request-timeout-ms: ")?.parse().ok());
-        let mut forwarded = self.0.lock().expect("no panic");
+        let mut forwarded = self.forwarded.lock().expect("no panic");
         forwarded.told.push((marker.to_owned(), told.map(Duration::from_millis), Instant::now()));
         forwarded.anywhere.insert(marker.to_owned());
         if writer {
@@ -104,6 +122,26 @@
     }
 }
 
+/// Writes large events as fast as they are taken, and records when they no longer are.
+fn write_flood(socket: &mut TcpStream, record: &Record) -> std::io::Result<()> {
+    socket.write_all(STREAM_HEAD.as_bytes())?;
+    socket.set_write_timeout(Some(STALLED_AFTER))?;
+    let event = EVENT.replace("\"x\"", &format!("\"{}\"", "x".repeat(LARGE_EVENT_BYTES)));
+    let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+    loop {
+        let mut rest = chunk.as_bytes();
+        while !rest.is_empty() {
+            match socket.write(rest) {
+                Ok(written) => rest = &rest[written..],
+                Err(fault) if fault.kind() == ErrorKind::WouldBlock => {
+                    record.is_stalled.store(true, Ordering::Relaxed);
+                }
+                Err(fault) => return Err(fault),
+            }
+        }
+    }
+}
+
 fn write_whole(socket: &mut TcpStream, status: &str, text: &str) -> std::io::Result<()> {
     let head = format!(
         "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
@@ -112,7 +150,9 @@
     socket.write_all((head + text).as_bytes())
 }
 
-fn answer(socket: &mut TcpStream, behaviour: Behaviour, streamed: bool) -> std::io::Result<()> {
+fn answer(
+    socket: &mut TcpStream, record: &Record, behaviour: Behaviour, streamed: bool,
+) -> std::io::Result<()> {
     let write = |socket: &mut TcpStream| match streamed {
         true => write_stream(socket),
         false => write_whole(socket, "200 OK", WHOLE_ANSWER),
@@ -124,7 +164,8 @@
             write(socket)
         }
         Behaviour::Endless if streamed => write_endless_stream(socket),
-        Behaviour::Never | Behaviour::Endless => {
+        Behaviour::Flood if streamed => write_flood(socket, record),
+        Behaviour::Never | Behaviour::Endless | Behaviour::Flood => {
             // Up to the end of the connection.
             let _ = socket.read(&mut [0]);
             Ok(())
@@ -160,7 +201,7 @@
             let written = match head.starts_with("POST") {
                 // Requests that prepare a test are answered by all.
                 true if body.contains("marker-first") => write_stream(&mut socket),
-                true => answer(&mut socket, behaviour, body.contains(r#""stream":true"#)),
+                true => answer(&mut socket, &record, behaviour, body.contains(r#""stream":true"#)),
                 false => socket.write_all(b"HTTP/1.1 204 No Content\r\n\r\n"),
             };
             if written.is_err() {
