Break the link of an upgrade that has no room for an operator's word passed on

Callers would see: with three processes of one conductor (an upgrade started while another runs), an operator's ban, return or drain said at one end is missing at the other, which goes on sending to that instance.

Partners::pass_on gave a full channel's refusal away, where Partners::tell breaks the link, so that the other side knows that it has missed something.

Change: both go through one function that breaks the link, and says so in a warning.

Test: process::succession::tests a_word_that_finds_no_room_breaks_the_link; with the lines of before it fails ("the link goes on").

--- a/src/node/process/succession.rs
+++ b/src/node/process/succession.rs
@@ -160,19 +160,12 @@
 impl Partners {
     /// Tells the other processes, if there are any.
     pub fn tell(&self, message: &Message) {
-        for slot in self.0.borrow_mut().iter_mut() {
-            // One that takes nothing in breaks the link: it must not miss a ban and go on.
-            if slot.as_ref().is_some_and(|sender| sender.try_send(message.clone()).is_err()) {
-                slot.take();
-            }
-        }
+        self.0.borrow_mut().iter_mut().for_each(|partner| deliver(partner, message));
     }
 
     /// Tells the process on the other side of the one that said it.
     fn pass_on(&self, from: Side, message: &Message) {
-        if let Some(sender) = &self.0.borrow()[1 - from as usize] {
-            let _ = sender.try_send(message.clone());
-        }
+        deliver(&mut self.0.borrow_mut()[1 - from as usize], message);
     }
 
     fn set(&self, side: Side, sender: Option<mpsc::Sender<Message>>) {
@@ -180,6 +173,15 @@
     }
 }
 
+/// Tells another process, if there is one. One that takes nothing in breaks the link: it must not miss a ban and go on.
+fn deliver(partner: &mut Option<mpsc::Sender<Message>>, message: &Message) {
+    let is_told = partner.as_ref().is_none_or(|sender| sender.try_send(message.clone()).is_ok());
+    if !is_told {
+        tracing::warn!("handover: the other process takes nothing in, the link is broken off");
+        partner.take();
+    }
+}
+
 /// What a process hands over, and what the link acts on.
 pub struct Estate {
     /// Who this is.
@@ -386,3 +388,6 @@
         shutdown.note(Happening::Drain);
     }
 }
+
+#[cfg(test)]
+mod tests;
