Count a request without a body as written once its head is, so that it never runs twice

Cause: WriteStatus notes the last byte when the HTTP library polls the body, and a body that is empty is never polled. Such a request never counted as written, so a reset behind it counted as "could not connect".

Change: it begins in a state of its own, which the first write of its head ends; from there on it is as with others.

--- a/src/node/upstream/socket.rs
+++ b/src/node/upstream/socket.rs
@@ -23,6 +23,8 @@
     /// The last byte has not been written.
     #[default]
     Incomplete,
+    /// The request has no body, so its head holds the last byte. Nothing has been written.
+    BodilessUnwritten,
     /// The last byte was handed to the connection's buffer.
     Buffered,
     /// The buffer with the last byte was flushed to the socket.
@@ -148,6 +150,16 @@
     }
 }
 
+impl CheckedSocket {
+    /// Records that bytes were written. What a request without a body has left is in hyper's buffer then, to be flushed.
+    fn note_written(&self, written: &Poll<io::Result<usize>>) {
+        let has_begun = matches!(written, Poll::Ready(Ok(1..)));
+        if has_begun && self.status.0.get() == WriteProgress::BodilessUnwritten {
+            self.status.0.set(WriteProgress::Buffered);
+        }
+    }
+}
+
 /// Sets the check and the write status of a connection's next request.
 pub struct RequestSlot {
     status: WriteStatus,
@@ -157,7 +169,10 @@
 impl RequestSlot {
     /// Creates the body of the next request and its write status.
     pub fn request_body(&self, data: Bytes, check: SendCheck) -> (RequestBody, WriteStatus) {
-        self.status.0.set(WriteProgress::Incomplete);
+        // Hyper never polls the body of a request without one.
+        let progress =
+            if data.is_empty() { WriteProgress::BodilessUnwritten } else { WriteProgress::Incomplete };
+        self.status.0.set(progress);
         self.check.replace(check);
         (
             RequestBody { data: Some(data).filter(|data| !data.is_empty()), status: self.status.clone() },
@@ -177,14 +192,18 @@
 impl AsyncWrite for CheckedSocket {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
         self.run_check()?;
-        Pin::new(&mut self.socket).poll_write(cx, data)
+        let written = Pin::new(&mut self.socket).poll_write(cx, data);
+        self.note_written(&written);
+        written
     }
 
     fn poll_write_vectored(
         mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.run_check()?;
-        Pin::new(&mut self.socket).poll_write_vectored(cx, data)
+        let written = Pin::new(&mut self.socket).poll_write_vectored(cx, data);
+        self.note_written(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -217,6 +217,38 @@
     });
 }
 
+/// Guards against a request without a body that counts as never sent though an instance has had all of it, and runs twice.
+#[test]
+fn a_request_without_a_body_that_an_instance_has_had_may_have_run() {
+    play(async || {
+        for body in [Bytes::new(), Bytes::from_static(b"{}")] {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("an address");
+            let addr = listener.local_addr().expect("an address");
+            let end = [&b"\r\n\r\n"[..], &body].concat();
+            let instance = spawn_local(async move {
+                let (mut socket, _) = listener.accept().await.expect("a connection");
+                let mut had = Vec::new();
+                while !had.ends_with(&end) {
+                    assert!(socket.read_buf(&mut had).await.expect("a request") > 0);
+                }
+            });
+            let counters = Rc::new(Counters::default());
+            let pool = Rc::new(Pool::new(limits(), counters.clone()));
+            let endpoint = Endpoint { name: "w1".into(), addr, role: Role::Write, is_ready: true };
+            pool.set_endpoint(HOST, Some(endpoint));
+            let upstream =
+                Rc::new(Upstream::new(pool, Protocol::Platform { pin_limit: 1_000_000 }, counters));
+            let (responder, _answer) = Responder::new("0a".into());
+            let payload = Payload { body: body.clone(), ..payload() };
+            let deadline = Instant::now() + Duration::from_secs(10);
+            let guards = (responder.client_presence(), None);
+            let (result, _) = upstream.start_attempt(HOST, &payload, deadline, guards).await;
+            instance.await.expect("it had the request");
+            assert!(matches!(result, InitialResult::Ended(Outcome::Broken)), "body {body:?}");
+        }
+    });
+}
+
 /// A request for which nothing was sent by its deadline, as its planner did not run, is refused: trying again is harmless.
 #[test]
 fn what_was_never_sent_by_its_deadline_is_refused_and_not_failed() {
