Judge: excuse a read whose process was killed before the network read its bytes

Cause: the judge excuses a read whose conductor was killed after it was sent, and took for sent the time at which the stand-in network read its last byte. A link that passes no new connections on accepts them and reads nothing, so the bytes of a process that is dead may be read, and arrive, long after its kill.

Change: what counts is whether the connection was opened by a process that has been killed since. States that were there at the kill were always excused; this is the same for those that begin after it. Reads of the next process, over connections of its own, and of other conductors are found as before, which a test of the judge shows.

--- a/rig/src/soak/judge.rs
+++ b/rig/src/soak/judge.rs
@@ -223,7 +223,16 @@
 
 fn held(held: &HeldLong) -> String {
     let time = (held.until - held.since) / MS;
-    format!("{}: its state was held for {time} ms with no attempt out (conductor {})", held.id, held.from)
+    let (opened, read) = (held.read_over.opened / MS, held.read_over.last_up() / MS);
+    let kills: Vec<_> = held.kills.iter().map(|at| at / MS).collect();
+    format!(
+        "{}: its state was held for {time} ms with no attempt out (conductor {}, killed at {kills:?}; the read's connection was opened at \
+         {opened}, its last byte read by the network at {read}, arrived at {}, no attempt out since {})",
+        held.id,
+        held.from,
+        held.arrived / MS,
+        held.since / MS
+    )
 }
 
 #[cfg(test)]
--- a/rig/src/soak/judge/tests.rs
+++ b/rig/src/soak/judge/tests.rs
@@ -140,7 +140,7 @@
     finds(&history, "after its drain was told");
     let held = |read_over| {
         let (id, until) = ("1".into(), SENT + 1_400 * MS);
-        vec![HeldLong { id, from: 0, since: SENT, until, read_over }]
+        vec![HeldLong { id, from: 0, since: SENT, until, read_over, arrived: SENT, kills: vec![] }]
     };
     history.held_long = held(Connection::untroubled(0));
     finds(&history, "its state was held for 1400 ms");
--- a/rig/src/soak/network.rs
+++ b/rig/src/soak/network.rs
@@ -90,9 +90,12 @@
     pub number: u64,
     /// What befalls it.
     pub plan: Option<Plan>,
+    /// When who connected opened it.
+    pub opened: Micros,
     /// When who connected ended it; 0 while it has not.
     near_ended: AtomicU64,
-    /// When the last byte came from who connected; 0 before the first.
+    /// When the link read the last byte from who connected; 0 before the first. It may have been written long before: a link reads
+    /// nothing while it passes no new connections on.
     last_up: AtomicU64,
     /// Something other than passing has happened to its bytes.
     disturbed: AtomicBool,
@@ -106,7 +109,7 @@
         Some(self.near_ended.load(Ordering::Relaxed)).filter(|&at| at > 0)
     }
 
-    /// When the last byte came from who connected.
+    /// When the link read the last byte from who connected.
     pub fn last_up(&self) -> Micros {
         self.last_up.load(Ordering::Relaxed)
     }
@@ -136,6 +139,12 @@
         connection
     }
 
+    /// One that was opened then.
+    #[cfg(test)]
+    pub fn opened_at(opened: Micros) -> Arc<Self> {
+        Arc::new(Connection { opened, ..Connection::default() })
+    }
+
     fn disturb(&self) {
         self.disturbed.store(true, Ordering::Relaxed);
     }
@@ -173,7 +182,8 @@
             while let Ok((near, _)) = listener.accept().await {
                 let number = accepting.opened.fetch_add(1, Ordering::Relaxed);
                 let plan = planner(number);
-                let connection = Arc::new(Connection { number, plan, ..Connection::default() });
+                let opened = clock.now();
+                let connection = Arc::new(Connection { number, plan, opened, ..Connection::default() });
                 let Ok(from) = near.peer_addr() else { continue };
                 accepting.known().push(Known { near: from, far: None, connection: connection.clone() });
                 tokio::spawn(accepting.clone().carry(near, target, connection, clock));
@@ -187,6 +197,11 @@
         self.state.send_modify(change);
     }
 
+    /// How many connections were opened up to now.
+    pub fn opened(&self) -> u64 {
+        self.opened.load(Ordering::Relaxed)
+    }
+
     /// All connections that are open now lose everything from now on.
     pub fn silence_open(&self) {
         let opened = self.opened.load(Ordering::Relaxed);
--- a/rig/src/soak/servers.rs
+++ b/rig/src/soak/servers.rs
@@ -81,6 +81,8 @@
     since: Micros,
     /// The connection of its read.
     read_over: Arc<Connection>,
+    /// When its read arrived.
+    arrived: Micros,
 }
 
 /// A state that was held for too long.
@@ -96,6 +98,10 @@
     pub until: Micros,
     /// The connection of its read.
     pub read_over: Arc<Connection>,
+    /// When its read arrived.
+    pub arrived: Micros,
+    /// When its conductor was killed.
+    pub kills: Vec<Micros>,
 }
 
 /// What all servers saw.
@@ -129,9 +135,16 @@
         }
         let states = self.states.get_mut(id).into_iter().flatten();
         for state in states.filter(|state| now.saturating_sub(state.since) > HELD_MOST) {
-            let (id, from, since, read_over) =
-                (id.to_owned(), state.from, state.since, state.read_over.clone());
-            self.held_long.push(HeldLong { id, from, since, until: now, read_over });
+            let kills = self.kills.iter().filter(|(conductor, _)| *conductor == state.from);
+            self.held_long.push(HeldLong {
+                id: id.to_owned(),
+                from: state.from,
+                since: state.since,
+                until: now,
+                read_over: state.read_over.clone(),
+                arrived: state.arrived,
+                kills: kills.map(|(_, at)| *at).collect(),
+            });
             // Told once.
             state.since = Micros::MAX;
         }
@@ -150,14 +163,15 @@
         self.kills.push((conductor, now));
     }
 
-    /// A read has come to its end. One whose conductor was killed since it was sent leaves nothing that anybody could let go of.
+    /// A read has come to its end. One over a connection of a process that has been killed leaves nothing that anybody could
+    /// release: the network may pass its bytes on, and even read them, long after that process has written them.
     fn hold(&mut self, number: usize, now: Micros) {
-        let Attempt { id, from, sent, connection: read_over, .. } = self.attempts[number].clone();
-        let killed = self.kills.iter().any(|&(conductor, at)| conductor == from && at >= sent);
-        if killed || self.dropped.contains(&number) {
+        let Attempt { id, from, arrived, connection: read_over, .. } = self.attempts[number].clone();
+        let is_of_killed = |&(conductor, at): &(usize, Micros)| conductor == from && at >= read_over.opened;
+        if self.kills.iter().any(is_of_killed) || self.dropped.contains(&number) {
             return;
         }
-        self.states.entry(id).or_default().push(State { from, since: now, read_over });
+        self.states.entry(id).or_default().push(State { from, since: now, read_over, arrived });
     }
 
     fn arrive(&mut self, attempt: Attempt) -> usize {
@@ -424,3 +438,6 @@
         self.attempts.iter().filter(|a| a.at == server && a.ended.is_none()).count()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/tests/held_state.rs
+++ b/tests/held_state.rs
@@ -9,8 +9,9 @@
 use rig::soak::deployment::Deployment;
 use rig::soak::fleet::{Fleet, FleetPlanner};
 use rig::soak::network::{Passing, Plan, Trouble, Way};
+use rig::soak::servers::Attempt;
 use rig::stand_ins::{HELD_MOST, Role};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// Requests in one round that teach the program how long servers take.
 const WARM_UP: usize = 8;
@@ -20,6 +21,10 @@
 const SERVED_ROUNDS: usize = 3;
 /// After which the program has closed an idle connection.
 const IDLE_LIFE: Duration = Duration::from_millis(2_400);
+/// Within which the program has written a request to a connection that it has opened.
+const WRITTEN_WITHIN: Duration = Duration::from_millis(100);
+/// Far above any wait that is meant.
+const TIMEOUT: Duration = Duration::from_secs(20);
 /// The classes of [`Deployment::quiet`].
 const SAFE: usize = 0;
 const UNSAFE: usize = 1;
@@ -70,6 +75,15 @@
     async move { client.ask((class, &its), its.deadline, Behaviour::Plain).await }
 }
 
+/// Waits until this holds; false if that takes too long.
+async fn happens(holds: impl Fn() -> bool) -> bool {
+    let begun = Instant::now();
+    while !holds() && begun.elapsed() < TIMEOUT {
+        sleep(Duration::from_millis(1)).await;
+    }
+    holds()
+}
+
 fn untroubled() -> FleetPlanner {
     Arc::new(|_, _, _| None)
 }
@@ -166,3 +180,41 @@
         });
     }
 }
+
+/// Guards against a judge that holds a read against its conductor which the network kept back until that process had been killed.
+#[test]
+fn a_read_that_arrives_after_its_process_was_killed_is_not_held_against_it() {
+    play(async {
+        let quick = Duration::from_millis(5);
+        // The end of a connection does not overtake its bytes at the server.
+        let keeps_end: FleetPlanner =
+            Arc::new(|_, _, _| Some(Plan { way: Way::Up, after: 0, trouble: Trouble::KeepsEnd }));
+        let mut fleet = served(deployment((2, quick), (2, quick)), keeps_end).await;
+        sleep(IDLE_LIFE).await;
+        let links: Vec<_> = fleet.links_to(0, Role::Read).cloned().collect();
+        let is_late = |attempt: &&Attempt| attempt.id.starts_with("late");
+        let opened = || links.iter().map(|link| link.opened()).sum::<u64>();
+        let before = opened();
+        links.iter().for_each(|link| link.change(|state| state.up = Passing::Waits));
+        let asked = tokio::spawn(ask(&fleet, "late", UNSAFE));
+        assert!(happens(|| opened() > before).await, "the read is sent");
+        sleep(WRITTEN_WITHIN).await;
+        fleet.conductors[0].kill().await;
+        let killed = fleet.record.look(|seen, now| {
+            seen.killed(0, now);
+            now
+        });
+        links.iter().for_each(|link| link.change(|state| state.up = Passing::Passes));
+        let arrived = || fleet.record.look(|seen, _| seen.attempts.iter().find(is_late).cloned());
+        assert!(happens(|| arrived().is_some()).await, "the read arrives");
+        let attempt = arrived().expect("it has arrived");
+        assert!(attempt.sent > killed, "the network read its bytes after the kill");
+        sleep(3 * Duration::from_micros(HELD_MOST)).await;
+        let held_long = fleet.record.look(|seen, now| {
+            seen.check_all(now);
+            seen.held_long.clone()
+        });
+        assert!(held_long.is_empty(), "{held_long:?}");
+        asked.abort();
+    });
+}
