Keep a list that comes in two pieces behind an entry on a line of its own

Cause: text that ends too soon counted as a line that was cut short if the next line was JSON, and an entry of the list may be that next line. Now the next line has to be a list.

Tests, red before: list::targets::tests a_list_whose_only_entry_stands_on_a_line_of_its_own_may_come_in_two_pieces (each cut; at byte 110 the list was dropped) and lists_of_any_layout_may_be_cut_anywhere (proptest: layouts and cuts drawn; also played once with 20,000 cases).

Beside it: two links of doc comments that lead to private items are plain text now.

--- a/src/node/list/targets.rs
+++ b/src/node/list/targets.rs
@@ -176,11 +176,12 @@
         let (end, parsed) = match value {
             Some(Ok(value)) => (values.byte_offset(), TargetList::from_json(&value)),
             Some(Err(error)) if !error.is_eof() => (self.next_line_start()?, Err(error.into())),
-            // Either an indented list is still incomplete, or a line was cut short and the next line is a list of its own.
+            // Either a list over several lines is still incomplete, or a line was cut short and the next line is a list of its own.
+            // An entry of an incomplete list may stand on a line of its own, too.
             Some(Err(error)) => {
                 let end = self.next_line_start().filter(|&start| {
                     let line = self.buffer[start..].split(|&b| b == b'\n').next().unwrap_or_default();
-                    serde_json::from_slice::<Value>(line).is_ok()
+                    TargetList::parse(line).is_ok()
                 });
                 let Some(end) = end else {
                     self.scanned_bytes = self.buffer.len();
--- a/src/node/list/targets/tests.rs
+++ b/src/node/list/targets/tests.rs
@@ -97,3 +97,64 @@
     assert!(decoder.next_list().is_some_and(|result| result.is_err()));
     assert_eq!(decoder.next_list().and_then(Result::ok).and_then(|(list, _)| list.version), Some(2));
 }
+
+/// White space that a list may have between any two of its tokens.
+const WHITE_SPACE: [&str; 6] = ["", "", " ", "\n", "\n  ", "\r\n"];
+
+/// Returns a list of these servers, with white space of these kinds between its tokens, in turn.
+fn list_text(version: u64, servers: usize, kinds: &[usize]) -> String {
+    let mut tokens: Vec<String> = ["{", "\"version\"", ":"].map(str::to_owned).to_vec();
+    tokens.push(version.to_string());
+    tokens.extend([",", "\"full\"", ":", "true", ",", "\"servers\"", ":", "["].map(str::to_owned));
+    for number in 0..servers {
+        let entry = VALID.replace("\"a\"", &format!("\"s{number}\""));
+        let separator = (number > 0).then(|| ",".to_owned());
+        let fields = entry.split_inclusive(['{', ',']).map(str::to_owned);
+        tokens.extend(separator.into_iter().chain(fields));
+    }
+    tokens.extend(["]", "}"].map(str::to_owned));
+    let mut white_space = kinds.iter().cycle().map(|&kind| WHITE_SPACE[kind]);
+    tokens.into_iter().flat_map(|token| [token, white_space.next().unwrap_or_default().to_owned()]).collect()
+}
+
+/// Returns versions and server counts of the lists that come out of these pieces.
+fn decode_pieces(pieces: &[&[u8]]) -> Vec<Result<(Option<u64>, usize), String>> {
+    let mut decoder = ListDecoder::default();
+    let mut decoded = Vec::new();
+    for piece in pieces {
+        decoder.push(piece);
+        let results = std::iter::from_fn(|| decoder.next_list());
+        let shown = |(list, _): (TargetList, EntryFaults)| (list.version, list.servers.len());
+        decoded.extend(results.map(|result| result.map(shown).map_err(|error| error.to_string())));
+    }
+    decoded
+}
+
+/// Guards against a list that is taken for a line that was cut short, as an entry of it stands on a line of its own and the rest has
+/// not come.
+#[test]
+fn a_list_whose_only_entry_stands_on_a_line_of_its_own_may_come_in_two_pieces() {
+    let text = format!("{{\"version\":1,\"servers\":[\n{VALID}\n]}}\n");
+    for cut in 0..text.len() {
+        let (first, rest) = text.as_bytes().split_at(cut);
+        assert_eq!(decode_pieces(&[first, rest]), [Ok((Some(1), 1))], "cut at {cut}");
+    }
+}
+
+proptest::proptest! {
+    /// However a list is laid out, and wherever it is cut, the same lists come out.
+    #[test]
+    fn lists_of_any_layout_may_be_cut_anywhere(
+        servers in 0..4_usize,
+        kinds in proptest::collection::vec(0..WHITE_SPACE.len(), 1..40),
+        cuts in proptest::collection::vec(0..4_000_usize, 0..4),
+    ) {
+        let lists = [list_text(1, servers, &kinds), list_text(2, servers + 1, &kinds)];
+        let text = format!("{}\n\n{}\n", lists[0], lists[1]);
+        let mut ends: Vec<_> = cuts.into_iter().map(|cut| cut % text.len()).chain([0, text.len()]).collect();
+        ends.sort_unstable();
+        let pieces: Vec<_> = ends.windows(2).map(|ends| &text.as_bytes()[ends[0]..ends[1]]).collect();
+        let expected = [Ok((Some(1), servers)), Ok((Some(2), servers + 1))];
+        proptest::prop_assert_eq!(decode_pieces(&pieces), expected, "{:?}", text);
+    }
+}
--- a/src/node/upstream/lease_keeper.rs
+++ b/src/node/upstream/lease_keeper.rs
@@ -64,7 +64,7 @@
     }
 
     /// Prepares for a read of the prompt. Waits until what an earlier read left is released, but no longer
-    /// than [`PRE_READ_RELEASE_TIMEOUT`].
+    /// than `PRE_READ_RELEASE_TIMEOUT`.
     pub async fn prepare_read(&mut self) {
         let Some(pin_limit) = self.upstream.pin_limit() else { return };
         if self.task.is_some() {
--- a/src/node/upstream/release.rs
+++ b/src/node/upstream/release.rs
@@ -96,7 +96,7 @@
 
 /// Releases everything that is held for the request. Any instance accepts the call for the whole fleet, and a
 /// second release does no harm. Returns when the call was sent that an instance confirmed, or `None` if none
-/// confirmed one within [`RELEASE_TIMEOUT`].
+/// confirmed one within `RELEASE_TIMEOUT`.
 pub async fn release(upstream: Rc<Upstream>, request_id: Rc<str>, reason: ReleaseReason) -> Option<Instant> {
     reason.count(upstream.counters());
     tracing::debug!(request = %request_id, ?reason, "release: started");
