Take the meeting point back when a newer process of an upgrade has died

Cause: the path in $TMPDIR had no owner. The newer process renames its socket over it; when it dies, the path leads to a dead socket and the older process accepts at one without a name.

Change: the path belongs to the newest process that lives. Behind each upgrade the older process looks whether the path leads to its own file or to a socket at which somebody listens; if neither, it binds it anew. A stopped process keeps its path.

Test: tests/upgrade what_operators_said_outlives_a_newer_process_that_is_killed; with the binding taken out it fails.

Not in this change: three processes at once, a far end that is stopped, a link lost between two processes that live.

--- a/src/node/process/succession.rs
+++ b/src/node/process/succession.rs
@@ -6,6 +6,7 @@
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::os::fd::{AsFd, OwnedFd};
+use std::os::unix::fs::MetadataExt;
 use std::path::PathBuf;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
@@ -290,26 +291,19 @@
         self.live(Side::Newer, inherited, Some(Message::Serves)).await;
     }
 
-    /// Offers all to a newer process, then to the next, until this process has ended.
+    /// Offers all to a newer process, then to the next, until this process has ended. The path belongs to the newest process that
+    /// lives: a newer one that serves puts its own socket there, and this one takes the path back when that one has died.
     pub async fn offer(&self, path: PathBuf) {
-        let listener = match bind(&path) {
-            Ok(listener) => listener,
-            Err(fault) => {
-                tracing::warn!("handover: cannot be offered at {}: {fault}", path.display());
-                return;
-            }
+        let mut meeting = match MeetingPoint::bind(path) {
+            Ok(meeting) => meeting,
+            Err(fault) => return tracing::warn!("handover: cannot be offered at {fault}"),
         };
         loop {
-            match listener.accept().await {
-                Ok((stream, _)) => match timeout(ANSWER, self.give(stream)).await {
-                    Ok(Ok(link)) => {
-                        tracing::info!("handover: a newer process has what there is");
-                        add(&self.fleet.core().counters.handed_over);
-                        self.live(Side::Older, link, None).await;
-                    }
-                    Ok(Err(fault)) => tracing::warn!("handover: not given: {fault}"),
-                    Err(_) => tracing::warn!("handover: not given: {}", LinkError::Silent),
-                },
+            match meeting.listener.accept().await {
+                Ok((stream, _)) => {
+                    self.hand_over(stream).await;
+                    self.take_path_back(&mut meeting).await;
+                }
                 Err(fault) => {
                     tracing::warn!("handover: cannot be taken up: {fault}");
                     sleep(ANSWER).await;
@@ -318,6 +312,33 @@
         }
     }
 
+    /// Gives all to a newer process, and lives the upgrade through.
+    async fn hand_over(&self, stream: UnixStream) {
+        match timeout(ANSWER, self.give(stream)).await {
+            Ok(Ok(link)) => {
+                tracing::info!("handover: a newer process has what there is");
+                add(&self.fleet.core().counters.handed_over);
+                self.live(Side::Older, link, None).await;
+            }
+            Ok(Err(fault)) => tracing::warn!("handover: not given: {fault}"),
+            Err(_) => tracing::warn!("handover: not given: {}", LinkError::Silent),
+        }
+    }
+
+    /// Listens at the path again if a newer process has left a socket there that nobody listens at any more.
+    async fn take_path_back(&self, meeting: &mut MeetingPoint) {
+        if self.shutdown.readiness().ending() || !meeting.is_abandoned().await {
+            return;
+        }
+        match MeetingPoint::bind(meeting.path.clone()) {
+            Ok(own) => {
+                *meeting = own;
+                tracing::info!("handover: offered again at {}", meeting.path.display());
+            }
+            Err(fault) => tracing::warn!("handover: cannot be offered again at {fault}"),
+        }
+    }
+
     async fn give(&self, stream: UnixStream) -> Result<Link, LinkError> {
         let mut line = Vec::new();
         // Byte for byte up to the end of the line: the stream is needed whole to pass the socket.
@@ -366,13 +387,47 @@
     }
 }
 
-/// Listens at the path from one moment to the next, whatever was there: an older process's link, or what one left.
-fn bind(path: &PathBuf) -> io::Result<UnixListener> {
-    let fresh = path.with_extension(std::process::id().to_string());
-    let _ = std::fs::remove_file(&fresh);
-    let listener = UnixListener::bind(&fresh)?;
-    std::fs::rename(&fresh, path).inspect_err(|_| drop(std::fs::remove_file(&fresh)))?;
-    Ok(listener)
+/// Where a process listens for newer ones.
+struct MeetingPoint {
+    path: PathBuf,
+    listener: UnixListener,
+    /// The file that this process put at the path.
+    inode: u64,
+}
+
+/// Why a process cannot listen at a path.
+#[derive(Debug, thiserror::Error)]
+#[error("{}: {fault}", path.display())]
+struct BindError {
+    path: PathBuf,
+    fault: io::Error,
+}
+
+impl MeetingPoint {
+    /// Listens at the path from one moment to the next, whatever was there: an older process's link, or what one left.
+    fn bind(path: PathBuf) -> Result<Self, BindError> {
+        let fresh = path.with_extension(std::process::id().to_string());
+        let bound = || {
+            let _ = std::fs::remove_file(&fresh);
+            let listener = UnixListener::bind(&fresh)?;
+            let inode = std::fs::symlink_metadata(&fresh)?.ino();
+            std::fs::rename(&fresh, &path).inspect_err(|_| drop(std::fs::remove_file(&fresh)))?;
+            Ok((listener, inode))
+        };
+        match bound() {
+            Ok((listener, inode)) => Ok(MeetingPoint { path, listener, inode }),
+            Err(fault) => Err(BindError { path, fault }),
+        }
+    }
+
+    /// Returns whether the path no longer leads to this process, nor to another that lives. One that is stopped lives.
+    async fn is_abandoned(&self) -> bool {
+        let is_own = std::fs::symlink_metadata(&self.path).is_ok_and(|file| file.ino() == self.inode);
+        let is_dead = |fault: &io::Error| {
+            matches!(fault.kind(), io::ErrorKind::ConnectionRefused | io::ErrorKind::NotFound)
+        };
+        !is_own && UnixStream::connect(&self.path).await.is_err_and(|fault| is_dead(&fault))
+    }
 }
 
 /// Where a conductor's processes meet; nowhere without a `$TMPDIR`, as no folder is private then.
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -379,6 +379,31 @@
     older.end();
 }
 
+/// Guards against an upgrade that fails and leaves the next one without maintenance and drain: the newer process serves, is killed,
+/// and the older one is found again by the process that is started then.
+#[test]
+fn what_operators_said_outlives_a_newer_process_that_is_killed() {
+    let fleet = Fleet::start();
+    let mut older = fleet.process(8_082);
+    fleet.serves(8_082);
+    assert!(fleet.call(8_082, "POST", "/instances/w2/maint").contains("200 OK"));
+    for (killed_port, next_port) in [(8_083, 8_084), (8_085, 8_086)] {
+        let mut killed = fleet.process(killed_port);
+        older.logs("readiness: handing over");
+        killed.signal("KILL");
+        killed.ended(false);
+        older.logs("handover: offered again");
+        let mut next = fleet.process(next_port);
+        next.logs("readiness: serving");
+        assert!(fleet.call(next_port, "GET", "/status").contains("\"w2\""), "the ban goes over");
+        older.signal("TERM");
+        older.ended(true);
+        next.logs("the older process is gone");
+        older = next;
+    }
+    older.end();
+}
+
 #[test]
 fn another_version_gets_nothing_and_is_told_why() {
     let fleet = Fleet::start();
