Shutdown tests: ask again on a busy machine, and fail where a client fails

Traced in the hung process: the conductor served; 4 of the 8 first requests that prepare connections were refused, as their attempts timed out within deadlines of 400 ms. The clients' threads failed on that, and the test waited for them for ever: it held a sender of its own.

Change: a preparing request is brought again on a new connection until it is served, within the tests' time-out; the test lets go of its sender, so a client that fails is a failure at once. What is judged, the requests around the shutdown, and its bounds are as before.

--- a/tests/shutdown/clients.rs
+++ b/tests/shutdown/clients.rs
@@ -131,6 +131,23 @@
         Some(socket)
     }
 
+    /// Returns a connection that had an answer. What prepares the test is asked again where a busy machine does not answer it within
+    /// the deadline.
+    fn connect_and_ask_first(&self) -> TcpStream {
+        let begun = Instant::now();
+        for attempt in 0.. {
+            let mut socket = self.connect().expect("it listens");
+            let (head, body) = self.request(&format!("first{}-{attempt}", self.marker));
+            socket.write_all((head + &body).as_bytes()).expect("it reads");
+            let (got, _) = read_answer(&socket);
+            if got == (Got::Answer { status: 200, whole: true }) {
+                return socket;
+            }
+            assert!(begun.elapsed() < TIMEOUT, "it does not serve: {got:?}");
+        }
+        unreachable!("the numbers of attempts do not end")
+    }
+
     /// Brings the request; the connection, and when the last byte was written, where either came about. `ready` is called
     /// when all is done that comes before SIGTERM.
     fn bring(&self, start: &Start, ready: impl FnOnce()) -> Option<(TcpStream, Option<Instant>)> {
@@ -148,11 +165,7 @@
                 Some(brought)
             }
             Arrival::Kept { at } => {
-                let socket = self.connect().expect("it listens");
-                let (head, body) = self.request(&format!("first{}", self.marker));
-                assert!(write(&socket, &(head + &body)), "it serves");
-                let (got, _) = read_answer(&socket);
-                assert_eq!(got, Got::Answer { status: 200, whole: true }, "it serves");
+                let socket = self.connect_and_ask_first();
                 ready();
                 start.sleep_until(at);
                 Some(at_once(socket))
--- a/tests/shutdown/main.rs
+++ b/tests/shutdown/main.rs
@@ -174,6 +174,8 @@
                 (arrival, std::thread::spawn(live))
             })
             .collect();
+        // A client that fails is noticed and not waited for.
+        drop(ready);
         running.iter().for_each(|_| is_ready.recv().expect("a client"));
         if self.standing == Standing::Drained {
             drain(&base);
