Let one piece of code serve what the review's fixes wrote twice

On reading the change again: the stream's log lines take the id from the attempt's trace; the note of written bytes stands with the socket's other methods; the tests share one decoding loop, one upstream and one way to send a request.

--- a/src/node/list/targets/tests.rs
+++ b/src/node/list/targets/tests.rs
@@ -9,20 +9,29 @@
     (list, faults.summary().unwrap_or_default())
 }
 
-/// Decodes the text and returns the version of each list, or the error in its place.
-fn decode(decoder: &mut ListDecoder, text: &str) -> Vec<Result<Option<u64>, String>> {
-    // Pushes single bytes, as the result must not depend on how the network splits a line.
+/// Version and number of servers of a list, or the error in its place.
+type Decoded = Result<(Option<u64>, usize), String>;
+
+/// Decodes these pieces of a text.
+fn decode_pieces<'a>(pieces: impl IntoIterator<Item = &'a [u8]>) -> Vec<Decoded> {
+    let mut decoder = ListDecoder::default();
     let mut decoded = Vec::new();
-    for byte in text.bytes() {
-        decoder.push(&[byte]);
+    for piece in pieces {
+        decoder.push(piece);
         let results = std::iter::from_fn(|| decoder.next_list());
-        decoded.extend(
-            results.map(|result| result.map(|(list, _)| list.version).map_err(|error| error.to_string())),
-        );
+        let shown = |(list, _): (TargetList, EntryFaults)| (list.version, list.servers.len());
+        decoded.extend(results.map(|result| result.map(shown).map_err(|error| error.to_string())));
     }
     decoded
 }
 
+/// Decodes the text and returns the version of each list, or the error in its place.
+fn decode(text: &str) -> Vec<Result<Option<u64>, String>> {
+    // Pushes single bytes, as the result must not depend on how the network splits a line.
+    let decoded = decode_pieces(text.as_bytes().chunks(1));
+    decoded.into_iter().map(|result| result.map(|(version, _)| version)).collect()
+}
+
 #[test]
 fn an_invalid_entry_does_not_affect_a_drain_beside_it() {
     let invalid = [
@@ -73,7 +82,7 @@
 fn lists_on_one_line_and_indented_lists_are_decoded() {
     let text = "\n{\"version\":1,\"servers\":[]}\r\n\n{\n  \"version\": 2,\n  \"servers\": [\n    {\"id\":\"a\",\n \
                 \"state\":\"Gone\"}\n  ]\n}\n{\"version\":3,\"servers\":[]}\n";
-    assert_eq!(decode(&mut ListDecoder::default(), text), [Ok(Some(1)), Ok(Some(2)), Ok(Some(3))]);
+    assert_eq!(decode(text), [Ok(Some(1)), Ok(Some(2)), Ok(Some(3))]);
 }
 
 #[test]
@@ -82,7 +91,7 @@
         ["noise", "{\"version\":1", "{\"version\":1,\"servers\":[", "{]}", "[1]", "{\"servers\":7}"]
     {
         let text = format!("{{\"version\":1,\"servers\":[]}}\n{invalid}\n{{\"version\":2,\"servers\":[]}}\n");
-        let decoded = decode(&mut ListDecoder::default(), &text);
+        let decoded = decode(&text);
         let versions: Vec<_> = decoded.iter().flatten().collect();
         assert_eq!((versions, decoded.len()), (vec![&Some(1), &Some(2)], 3), "{invalid}: {decoded:?}");
     }
@@ -117,19 +126,6 @@
     tokens.into_iter().flat_map(|token| [token, white_space.next().unwrap_or_default().to_owned()]).collect()
 }
 
-/// Returns versions and server counts of the lists that come out of these pieces.
-fn decode_pieces(pieces: &[&[u8]]) -> Vec<Result<(Option<u64>, usize), String>> {
-    let mut decoder = ListDecoder::default();
-    let mut decoded = Vec::new();
-    for piece in pieces {
-        decoder.push(piece);
-        let results = std::iter::from_fn(|| decoder.next_list());
-        let shown = |(list, _): (TargetList, EntryFaults)| (list.version, list.servers.len());
-        decoded.extend(results.map(|result| result.map(shown).map_err(|error| error.to_string())));
-    }
-    decoded
-}
-
 /// Guards against a list that is taken for a line that was cut short, as an entry of it stands on a line of its own and the rest has
 /// not come.
 #[test]
@@ -137,7 +133,7 @@
     let text = format!("{{\"version\":1,\"servers\":[\n{VALID}\n]}}\n");
     for cut in 0..text.len() {
         let (first, rest) = text.as_bytes().split_at(cut);
-        assert_eq!(decode_pieces(&[first, rest]), [Ok((Some(1), 1))], "cut at {cut}");
+        assert_eq!(decode_pieces([first, rest]), [Ok((Some(1), 1))], "cut at {cut}");
     }
 }
 
@@ -155,6 +151,6 @@
         ends.sort_unstable();
         let pieces: Vec<_> = ends.windows(2).map(|ends| &text.as_bytes()[ends[0]..ends[1]]).collect();
         let expected = [Ok((Some(1), servers)), Ok((Some(2), servers + 1))];
-        proptest::prop_assert_eq!(decode_pieces(&pieces), expected, "{:?}", text);
+        proptest::prop_assert_eq!(decode_pieces(pieces), expected, "{:?}", text);
     }
 }
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -326,7 +326,6 @@
 
         // 3. The stream. From its first event on it belongs to the client: no deadline applies and the request is never sent
         // again. The payload is dropped here because it is far larger than the buffered events.
-        let payload_id = payload.id.clone();
         drop((payload, permit));
         lease.stream_started();
         trace.is_answered = true;
@@ -343,14 +342,14 @@
                 relay_end = relay::forward_events(&mut events, &client) => relay_end,
                 () = move_requested(&mut handle) => {
                     let waiting_chunks = client.waiting_chunks();
-                    tracing::debug!(request = %payload_id, waiting_chunks, "stream: moved");
+                    tracing::debug!(request = %trace.request, waiting_chunks, "stream: moved");
                     RelayEnd::Moved
                 }
             }
         };
         drop(events);
         client.finish(relay_end.stream_end());
-        tracing::debug!(request = %payload_id, end = ?relay_end, "stream: forwarding ended");
+        tracing::debug!(request = %trace.request, end = ?relay_end, "stream: forwarding ended");
         let outcome = match relay_end {
             RelayEnd::Complete => (add(&counters.served), Outcome::Served).1,
             RelayEnd::Moved => {
--- a/src/node/upstream/socket.rs
+++ b/src/node/upstream/socket.rs
@@ -148,9 +148,7 @@
         self.status.0.set(WriteProgress::Stopped(reason));
         Err(io::Error::other(reason))
     }
-}
 
-impl CheckedSocket {
     /// Records that bytes were written. What a request without a body has left is in hyper's buffer then, to be flushed.
     fn note_written(&self, written: &Poll<io::Result<usize>>) {
         let has_begun = matches!(written, Poll::Ready(Ok(1..)));
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -125,10 +125,14 @@
 }
 
 async fn upstream_to(instance: &Instance) -> Rc<Upstream> {
-    let addr = instance.listen().await;
+    upstream_at(instance.listen().await, Role::Read)
+}
+
+/// An upstream with one instance, which listens there.
+fn upstream_at(addr: SocketAddr, role: Role) -> Rc<Upstream> {
     let counters = Rc::new(Counters::default());
     let pool = Rc::new(Pool::new(limits(), counters.clone()));
-    pool.set_endpoint(HOST, Some(Endpoint { name: "r1".into(), addr, role: Role::Read, is_ready: true }));
+    pool.set_endpoint(HOST, Some(Endpoint { name: "s1".into(), addr, role, is_ready: true }));
     Rc::new(Upstream::new(pool, Protocol::Platform { pin_limit: 1_000_000 }, counters))
 }
 
@@ -232,12 +236,7 @@
                     assert!(socket.read_buf(&mut had).await.expect("a request") > 0);
                 }
             });
-            let counters = Rc::new(Counters::default());
-            let pool = Rc::new(Pool::new(limits(), counters.clone()));
-            let endpoint = Endpoint { name: "w1".into(), addr, role: Role::Write, is_ready: true };
-            pool.set_endpoint(HOST, Some(endpoint));
-            let upstream =
-                Rc::new(Upstream::new(pool, Protocol::Platform { pin_limit: 1_000_000 }, counters));
+            let upstream = upstream_at(addr, Role::Write);
             let (responder, _answer) = Responder::new("0a".into());
             let payload = Payload { body: body.clone(), ..payload() };
             let deadline = Instant::now() + Duration::from_secs(10);
--- a/tests/shutdown/clients.rs
+++ b/tests/shutdown/clients.rs
@@ -105,7 +105,8 @@
     }
 
     /// A request's head and its body.
-    fn request(&self, marker: &str) -> (String, String) {
+    fn request(&self) -> (String, String) {
+        let marker = &self.marker;
         let streamed = self.front != Front::ChatWhole;
         let model = if self.unsafe_to_repeat { "route-save" } else { "climb-assist" };
         let body = format!(
@@ -136,9 +137,8 @@
     fn connect_and_ask_first(&self) -> TcpStream {
         let begun = Instant::now();
         for attempt in 0.. {
-            let mut socket = self.connect().expect("it listens");
-            let (head, body) = self.request(&format!("first{}-{attempt}", self.marker));
-            socket.write_all((head + &body).as_bytes()).expect("it reads");
+            let first = Client { marker: format!("first{}-{attempt}", self.marker), ..self.clone() };
+            let socket = first.send();
             let (got, _) = read_answer(&socket);
             if got == (Got::Answer { status: 200, whole: true }) {
                 return socket;
@@ -151,7 +151,7 @@
     /// Brings the request; the connection, and when the last byte was written, where either came about. `ready` is called
     /// when all is done that comes before SIGTERM.
     fn bring(&self, start: &Start, ready: impl FnOnce()) -> Option<(TcpStream, Option<Instant>)> {
-        let (head, body) = self.request(&self.marker);
+        let (head, body) = self.request();
         let whole = format!("{head}{body}");
         let write = |mut socket: &TcpStream, text: &str| socket.write_all(text.as_bytes()).is_ok();
         let at_once = |socket: TcpStream| {
@@ -209,7 +209,7 @@
 
     /// Sends the request on a new connection.
     pub fn send(&self) -> TcpStream {
-        let (head, body) = self.request(&self.marker);
+        let (head, body) = self.request();
         let mut socket = self.connect().expect("it listens");
         socket.write_all((head + &body).as_bytes()).expect("it reads");
         socket
