--- /dev/null
+++ b/review/standins-2/crowd.rs
@@ -0,0 +1,161 @@
+//! A crowd connects without ever finishing a request, while true clients come on new connections and some of them take 2 s to
+//! write. Memory and descriptors are cut by half.
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::world::*;
+
+/// Half of the most that the pages name.
+const LIMITS: Limits = Limits { memory_mb: 96, sockets: 512 };
+/// Past a request's time in which an answer only earns nothing, and the 50 ms by which limits grow on sockets.
+const LATE_MS: u64 = 500 + 50;
+/// What a true client that is slow waits between the two halves of its request.
+const SLOW_MS: u64 = 1_800;
+const CLIENTS: u64 = 60;
+
+/// One crowd: how many connect in a second, how many are connected at most, and how much of a request each sends.
+struct Crowd {
+    per_second: u64,
+    most: usize,
+    sends_body: bool,
+}
+
+/// A true client.
+#[derive(Clone, Copy)]
+struct True {
+    is_slow: bool,
+    timeout_ms: u64,
+}
+
+/// The crowd sends a head and a part of the body; every third true client takes 2 s to write.
+pub fn slow_writers(file: &Path, is_troubled: bool) -> i32 {
+    let crowd = Crowd { per_second: 200, most: 900, sends_body: true };
+    play(file, is_troubled, crowd, |number| True { is_slow: number % 3 == 0, timeout_ms: 5_000 })
+}
+
+/// The crowd sends a part of a head; true clients write at once.
+pub fn queue(file: &Path, is_troubled: bool) -> i32 {
+    let crowd = Crowd { per_second: 500, most: 1_150, sends_body: false };
+    play(file, is_troubled, crowd, |_| True { is_slow: false, timeout_ms: 3_000 })
+}
+
+fn play(file: &Path, is_troubled: bool, crowd: Crowd, client: impl Fn(u64) -> True) -> i32 {
+    let record = Record::new();
+    let folder = Folder::new("croftsill-review-crowd");
+    let fleet = Fleet::new(&record);
+    let reads = Manner { reads: true, first_ms: 80, events: 0, between_ms: 0 };
+    let writes = Manner { reads: false, first_ms: 60, events: 10, between_ms: 40 };
+    let instances = [
+        fleet.instance("r1", reads),
+        fleet.instance("r2", reads),
+        fleet.instance("w1", writes),
+        fleet.instance("w2", writes),
+    ];
+    let discovery = Discovery::start(&instances);
+    let conductor = Conductor::start(&folder, "only", free_address(), &discovery, LIMITS);
+    if !conductor.is_ready_within(Duration::from_secs(20)) {
+        return record.close(file, "the conductor is not ready; the case could not run", 2);
+    }
+    let (over, to) = (Flag::default(), conductor.listen);
+    let met = Arc::new(AtomicU64::new(0));
+    let crowding = is_troubled.then(|| {
+        let (over, met) = (over.clone(), met.clone());
+        thread::spawn(move || crowd_in(to, &crowd, &over, &met))
+    });
+    thread::sleep(ms(4_000));
+
+    let mut clients = Vec::new();
+    for number in 0..CLIENTS {
+        let (record, client) = (record.clone(), client(number));
+        clients.push(thread::spawn(move || true_client(&record, to, number, client)));
+        thread::sleep(ms(150));
+    }
+    let ended: Vec<_> = clients.into_iter().filter_map(|client| client.join().ok()).collect();
+    over.set();
+    crowding.map(|crowding| crowding.join());
+    thread::sleep(ms(1_500));
+    if let Ok(mut wire) = Wire::connect(to)
+        && wire
+            .socket
+            .write_all(b"GET /-/counters HTTP/1.1\r\nHost: app.svc\r\nConnection: close\r\n\r\n")
+            .is_ok()
+        && let Ok(Some(counters)) = wire.message()
+    {
+        record.note(format!("the conductor's counters: {}", String::from_utf8_lossy(&counters.body).trim()));
+    }
+
+    let taken = ended.iter().filter(|end| !matches!(end, Ended::NotSent(_))).count();
+    let lost = ended.iter().filter(|end| matches!(end, Ended::Unanswered(_))).count();
+    let told = format!(
+        "{lost} of {taken} requests that were written whole had no final answer; {} more were not written; a crowd of {}",
+        ended.len() - taken,
+        met.load(Ordering::SeqCst)
+    );
+    if taken == 0 {
+        return record.close(file, &format!("the case could not run: {told}"), 2);
+    }
+    match lost {
+        0 => record.close(file, &format!("held: {told}"), 0),
+        _ => record.close(file, &format!("broken: {told}"), 1),
+    }
+}
+
+/// Connects again and again, sends a part of a request, and stays until the conductor ends the connection.
+fn crowd_in(to: SocketAddr, crowd: &Crowd, over: &Flag, met: &AtomicU64) {
+    let mut held: Vec<Wire> = Vec::new();
+    let began = Instant::now();
+    while !over.is_set() {
+        let due = began.elapsed().as_millis() as u64 * crowd.per_second / 1_000;
+        while met.load(Ordering::SeqCst) < due && held.len() < crowd.most && !over.is_set() {
+            let number = met.fetch_add(1, Ordering::SeqCst);
+            let Ok(mut wire) = Wire::connect(to) else { break };
+            let (head, body) =
+                request(&format!("{:016x}", 0xb000_0000 + number), "climb-query", 6_000, 2_000);
+            let part = if crowd.sends_body { head + &body[..500] } else { head[..80].to_owned() };
+            let _ = wire.socket.write_all(part.as_bytes());
+            held.push(wire);
+        }
+        held.retain(|wire| !wire.has_closed());
+        thread::sleep(ms(10));
+    }
+}
+
+/// Sends one request on a new connection. An answer counts up to half a second past its time.
+fn true_client(record: &Record, to: SocketAddr, number: u64, client: True) -> Ended {
+    let id = format!("{:016x}", 0xc000_0000 + number);
+    let (head, body) = request(&id, "climb-query", client.timeout_ms, 2_000);
+    let (first, rest) = body.split_at(body.len() / 2);
+    let connecting = Instant::now();
+    let mut wire = match Wire::connect(to) {
+        Ok(wire) => wire,
+        Err(fault) => {
+            record.note(format!("client: {id}: cannot connect: {}", fault.kind()));
+            return Ended::NotSent(fault.kind().to_string());
+        }
+    };
+    record.note(format!("client: {id}: connected after {} ms", connecting.elapsed().as_millis()));
+    let mut written = wire.socket.write_all((head + first).as_bytes());
+    if client.is_slow {
+        thread::sleep(ms(SLOW_MS));
+    }
+    written = written.and_then(|()| wire.socket.write_all(rest.as_bytes()));
+    if let Err(fault) = written {
+        record.note(format!("client: {id}: cannot write: {}", fault.kind()));
+        return Ended::NotSent(fault.kind().to_string());
+    }
+    record.note(format!("client: {id}: written whole, slow: {}", client.is_slow));
+    let sent_at = Instant::now();
+    let begun = wire.begins_within(ms(client.timeout_ms + LATE_MS));
+    let ended = match begun {
+        true => answer(&mut wire, ms(10_000)),
+        false => Ended::Unanswered("nothing came in its time and half a second".into()),
+    };
+    record.note(format!("client: {id}: {ended:?}, {} ms after its last byte", sent_at.elapsed().as_millis()));
+    ended
+}
