--- a/review/standins-2/heads.rs
+++ b/review/standins-2/heads.rs
@@ -34,7 +34,7 @@
         return record.close(file, "the conductor is not ready; the case could not run", 2);
     }
     let over = Flag::default();
-    let usual = usual_clients(&record, conductor.listen, ms(200), 4_000, &over);
+    let usual = usual_clients(&record, conductor.listen, "climb-query", ms(200), 4_000, &over);
     thread::sleep(ms(2_000));
 
     let mut held = Vec::new();
--- a/review/standins-2/upgrade.rs
+++ b/review/standins-2/upgrade.rs
@@ -15,6 +15,8 @@
 /// From SIGTERM to SIGKILL: the longest deadline, counted as 3 s, and 0.7 s more.
 const KILL_AFTER_MS: u64 = 3_700;
 const BANNED: &str = "w2";
+/// When operators restart the instance, after the yes: past the grace.
+const RESTART_MS: u64 = 1_400;
 
 pub fn play(file: &Path, is_troubled: bool) -> i32 {
     let record = Record::new();
@@ -36,7 +38,7 @@
     record.note("the older process is ready");
 
     let load_over = Flag::default();
-    let load = usual_clients(&record, older.listen, ms(70), 24_000, &load_over);
+    let load = usual_clients(&record, older.listen, "route-save", ms(70), 24_000, &load_over);
     thread::sleep(ms(3_000));
 
     if is_troubled {
@@ -70,8 +72,12 @@
     record.note("the newer process says that it serves; SIGTERM to the older one");
     older.signal("-TERM");
     let told_to_end = Instant::now();
-    let mut is_killed = false;
+    let (mut is_killed, mut is_restarted) = (false, false);
     while outage_began.elapsed() < ms(OUTAGE_MS) || told_to_end.elapsed() < ms(KILL_AFTER_MS) {
+        if !is_restarted && record.now() >= yes_at + RESTART_MS {
+            fleet.kill_instance(BANNED);
+            is_restarted = true;
+        }
         if !is_killed && told_to_end.elapsed() >= ms(KILL_AFTER_MS) {
             older.signal("-KILL");
             is_killed = true;
@@ -80,16 +86,23 @@
     }
     discovery.set_down(false);
     load_over.set();
-    let _ = load.join();
+    let ended = load.join().unwrap_or_default();
 
-    let late: Vec<_> = lock(&fleet.arrivals)
+    let arrivals = lock(&fleet.arrivals);
+    let is_late = |arrival: &&Arrival| arrival.instance == BANNED && arrival.at_ms > yes_at + GRACE_MS;
+    let lost = arrivals
+        .iter()
+        .filter(is_late)
+        .filter(|arrival| ended.iter().any(|(id, end)| *id == arrival.id && *end != Ended::Answered(200)));
+    let lost = lost.count();
+    let late: Vec<_> = arrivals
         .iter()
-        .filter(|arrival| arrival.instance == BANNED && arrival.at_ms > yes_at + GRACE_MS)
+        .filter(is_late)
         .map(|arrival| {
             format!("{} at {} ms, {} ms after the yes", arrival.id, arrival.at_ms, arrival.at_ms - yes_at)
         })
         .collect();
-    let before = lock(&fleet.arrivals).iter().filter(|a| a.instance == BANNED && a.at_ms < yes_at).count();
+    let before = arrivals.iter().filter(|a| a.instance == BANNED && a.at_ms < yes_at).count();
     if before == 0 {
         return record.close(file, "the writer had no work before; the case could not run", 2);
     }
@@ -103,7 +116,11 @@
     late.iter().for_each(|one| record.note(format!("late: {one}")));
     record.close(
         file,
-        &format!("broken: {} requests sent to {BANNED} past the grace: {}", late.len(), late.join("; ")),
+        &format!(
+            "broken: {} requests sent to {BANNED} past the grace, {lost} of them not served: {}",
+            late.len(),
+            late.join("; ")
+        ),
         1,
     )
 }
--- a/review/standins-2/world.rs
+++ b/review/standins-2/world.rs
@@ -1,7 +1,7 @@
 //! Stand-ins for the platform, discovery, instances and clients, shared by the cases of the second review. They use the
 //! standard library alone, a thread for each connection, loopback addresses and the real clock.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt::Write as _;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -289,6 +289,8 @@
     pub arrivals: Mutex<Vec<Arrival>>,
     /// The ids for which a writer began an answer.
     pub runs: Mutex<Vec<String>>,
+    /// Instances whose process has died.
+    dead: Mutex<BTreeSet<String>>,
     /// Requests whose state a reader holds.
     states: Mutex<BTreeMap<String, u64>>,
 }
@@ -299,6 +301,7 @@
             record: record.clone(),
             arrivals: Mutex::default(),
             runs: Mutex::default(),
+            dead: Mutex::default(),
             states: Mutex::default(),
         })
     }
@@ -307,13 +310,38 @@
     pub fn instance(self: &Arc<Self>, id: &str, manner: Manner) -> Listed {
         let (listener, addr) = listener();
         let (fleet, name) = (self.clone(), id.to_owned());
-        serve(listener, move |socket| drop(fleet.answer(&name, manner, Wire::new(socket))));
+        listener.set_nonblocking(true).expect("a listener that can be looked at");
+        // Ends with the instance's process: the listener closes, and new connections are refused.
+        thread::spawn(move || {
+            while !fleet.is_dead(&name) {
+                let Ok((socket, _)) = listener.accept() else {
+                    thread::sleep(ms(1));
+                    continue;
+                };
+                let (fleet, name) = (fleet.clone(), name.clone());
+                let _ = socket.set_nonblocking(false);
+                thread::spawn(move || drop(fleet.answer(&name, manner, Wire::new(socket))));
+            }
+        });
         let kind = if manner.reads { "prefill" } else { "decode" };
         Listed { id: id.into(), addr, kind, state: "Ready" }
     }
 
+    /// Ends an instance's process: its connections end and new ones are refused.
+    pub fn kill_instance(&self, name: &str) {
+        self.record.note(format!("instance {name}: its process ends, to be started again"));
+        lock(&self.dead).insert(name.to_owned());
+    }
+
+    fn is_dead(&self, name: &str) -> bool {
+        lock(&self.dead).contains(name)
+    }
+
     fn answer(&self, name: &str, manner: Manner, mut wire: Wire) -> io::Result<()> {
         while let Some(call) = wire.message()? {
+            if self.is_dead(name) {
+                return Err(ErrorKind::ConnectionReset.into());
+            }
             if let Some(path) = call.first.strip_prefix("DELETE /kv/leases/") {
                 let id = path.split(' ').next().unwrap_or_default();
                 lock(&self.states).remove(id);
@@ -341,7 +369,7 @@
         }
         let until = Instant::now() + ms(manner.first_ms);
         while Instant::now() < until {
-            if wire.has_closed() {
+            if wire.has_closed() || self.is_dead(name) {
                 return Err(ErrorKind::UnexpectedEof.into());
             }
             thread::sleep(ms(5));
@@ -363,6 +391,9 @@
             if number > 0 {
                 thread::sleep(ms(manner.between_ms));
             }
+            if self.is_dead(name) {
+                return Err(ErrorKind::UnexpectedEof.into());
+            }
             let event =
                 format!("data: {{\"choices\":[{{\"index\":0,\"delta\":{{\"content\":\"{id}\"}}}}]}}\n\n");
             write!(wire.socket, "{:x}\r\n{event}\r\n", event.len())?;
@@ -565,7 +596,8 @@
 
 /// Usual clients: a request each `every`, on a new connection, until the flag is set. Returns how they ended.
 pub fn usual_clients(
-    record: &Arc<Record>, to: SocketAddr, every: Duration, body_bytes: usize, over: &Flag,
+    record: &Arc<Record>, to: SocketAddr, class: &'static str, every: Duration, body_bytes: usize,
+    over: &Flag,
 ) -> thread::JoinHandle<Vec<(String, Ended)>> {
     let (record, over) = (record.clone(), over.clone());
     thread::spawn(move || {
@@ -574,7 +606,7 @@
             let id = format!("{:016x}", 0xc000_0000 + clients.len());
             let record = record.clone();
             clients.push(thread::spawn(move || {
-                let ended = ask(&record, to, &id, "climb-query", 5_000, body_bytes);
+                let ended = ask(&record, to, &id, class, 5_000, body_bytes);
                 (id, ended)
             }));
             thread::sleep(every);
