Review 2: a script that is ended early leaves nothing behind

Each script has a temporary folder of its own and ends the stand-ins and what they started, by their ids.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,6 +1,6 @@
 #!/bin/bash
 # Plays the case "queue" of review/standins-2 against the program that the deploy file builds. Exits with 1 if the rule was broken, 0
-# if it held, 2 if the case could not run. With TROUBLE=0 the disruption is left out. The stand-ins end all that they start.
+# if it held, 2 if the case could not run. With TROUBLE=0 the disruption is left out. It ends all that it starts.
 here=$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)
 cd "$here/../.." || exit 2
 cases=target/review-2/cases
@@ -8,8 +8,23 @@
     echo "build first: the build line of deploy/balancer.toml, then review/build-2.sh"
     exit 2
 fi
-timeout -k 2 115 "$cases" queue "$here"
+folder=$(mktemp -d) || exit 2
+play=
+end() {
+    # The stand-ins end their own processes. If this script is ended early, it ends them and what they started, by their ids.
+    if [ -n "$play" ]; then
+        pkill -KILL -P "$play"
+        kill -KILL "$play"
+    fi
+    rm -rf "$folder"
+}
+trap end EXIT
+trap 'exit 2' HUP INT TERM
+TMPDIR=$folder "$cases" queue "$here" &
+play=$!
+wait "$play"
 code=$?
+play=
 case $code in
     0 | 1) exit $code ;;
     *) exit 2 ;;
--- a/review/standins-2/crowd.rs
+++ b/review/standins-2/crowd.rs
@@ -47,7 +47,7 @@
 
 fn play(file: &Path, is_troubled: bool, crowd: Crowd, client: impl Fn(u64) -> True) -> i32 {
     let record = Record::new();
-    let folder = Folder::new("croftsill-review-crowd");
+    let folder = Folder::new("crowd");
     let fleet = Fleet::new(&record);
     let reads = Manner { reads: true, first_ms: 80, events: 0, between_ms: 0 };
     let writes = Manner { reads: false, first_ms: 60, events: 10, between_ms: 40 };
--- a/review/standins-2/heads.rs
+++ b/review/standins-2/heads.rs
@@ -18,7 +18,7 @@
 
 pub fn play(file: &Path, is_troubled: bool) -> i32 {
     let record = Record::new();
-    let folder = Folder::new("croftsill-review-heads");
+    let folder = Folder::new("heads");
     let fleet = Fleet::new(&record);
     let reads = Manner { reads: true, first_ms: 80, events: 0, between_ms: 0 };
     let writes = Manner { reads: false, first_ms: 60, events: 40, between_ms: 40 };
--- a/review/standins-2/twice.rs
+++ b/review/standins-2/twice.rs
@@ -14,7 +14,7 @@
 
 pub fn play(file: &Path, is_troubled: bool) -> i32 {
     let record = Record::new();
-    let folder = Folder::new("croftsill-review-twice");
+    let folder = Folder::new("twice");
     let fleet = Fleet::new(&record);
     let reads = Manner { reads: true, first_ms: 150, events: 0, between_ms: 0 };
     let writes = Manner { reads: false, first_ms: 100, events: 50, between_ms: 60 };
--- a/review/standins-2/upgrade.rs
+++ b/review/standins-2/upgrade.rs
@@ -20,7 +20,7 @@
 
 pub fn play(file: &Path, is_troubled: bool) -> i32 {
     let record = Record::new();
-    let folder = Folder::new("croftsill-review-upgrade");
+    let folder = Folder::new("upgrade");
     let fleet = Fleet::new(&record);
     let reads = Manner { reads: true, first_ms: 500, events: 0, between_ms: 0 };
     let writes = Manner { reads: false, first_ms: 60, events: 10, between_ms: 40 };
