--- a/review/standins-2/crowd.rs
+++ b/review/standins-2/crowd.rs
@@ -3,7 +3,6 @@
 
 use std::io::Write;
 use std::net::SocketAddr;
-use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
@@ -34,21 +33,20 @@
 }
 
 /// The crowd sends a head and a part of the body; every third true client takes 2 s to write.
-pub fn slow_writers(file: &Path, is_troubled: bool) -> i32 {
+pub fn slow_writers(record: &Arc<Record>, is_troubled: bool) -> i32 {
     let crowd = Crowd { per_second: 200, most: 900, sends_body: true };
-    play(file, is_troubled, crowd, |number| True { is_slow: number % 3 == 0, timeout_ms: 5_000 })
+    play(record, is_troubled, crowd, |number| True { is_slow: number % 3 == 0, timeout_ms: 5_000 })
 }
 
 /// The crowd sends a part of a head; true clients write at once.
-pub fn queue(file: &Path, is_troubled: bool) -> i32 {
+pub fn queue(record: &Arc<Record>, is_troubled: bool) -> i32 {
     let crowd = Crowd { per_second: 500, most: 1_150, sends_body: false };
-    play(file, is_troubled, crowd, |_| True { is_slow: false, timeout_ms: 3_000 })
+    play(record, is_troubled, crowd, |_| True { is_slow: false, timeout_ms: 3_000 })
 }
 
-fn play(file: &Path, is_troubled: bool, crowd: Crowd, client: impl Fn(u64) -> True) -> i32 {
-    let record = Record::new();
+fn play(record: &Arc<Record>, is_troubled: bool, crowd: Crowd, client: impl Fn(u64) -> True) -> i32 {
     let folder = Folder::new("crowd");
-    let fleet = Fleet::new(&record);
+    let fleet = Fleet::new(record);
     let reads = Manner { reads: true, first_ms: 80, events: 0, between_ms: 0 };
     let writes = Manner { reads: false, first_ms: 60, events: 10, between_ms: 40 };
     let instances = [
@@ -60,7 +58,7 @@
     let discovery = Discovery::start(&instances);
     let conductor = Conductor::start(&folder, "only", free_address(), &discovery, LIMITS);
     if !conductor.is_ready_within(Duration::from_secs(20)) {
-        return record.close(file, "the conductor is not ready; the case could not run", 2);
+        return record.close("the conductor is not ready; the case could not run", 2);
     }
     let (over, to) = (Flag::default(), conductor.listen);
     let met = Arc::new(AtomicU64::new(0));
@@ -98,11 +96,11 @@
         met.load(Ordering::SeqCst)
     );
     if taken == 0 {
-        return record.close(file, &format!("the case could not run: {told}"), 2);
+        return record.close(&format!("the case could not run: {told}"), 2);
     }
     match lost {
-        0 => record.close(file, &format!("held: {told}"), 0),
-        _ => record.close(file, &format!("broken: {told}"), 1),
+        0 => record.close(&format!("held: {told}"), 0),
+        _ => record.close(&format!("broken: {told}"), 1),
     }
 }
 
--- a/review/standins-2/heads.rs
+++ b/review/standins-2/heads.rs
@@ -2,7 +2,7 @@
 //! kills it over `memory_mb`, as the deployment page says.
 
 use std::io::Write;
-use std::path::Path;
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -16,10 +16,9 @@
 /// What each adds every half second: its head does not end.
 const DRIP: &[u8] = b"aaaa";
 
-pub fn play(file: &Path, is_troubled: bool) -> i32 {
-    let record = Record::new();
+pub fn play(record: &Arc<Record>, is_troubled: bool) -> i32 {
     let folder = Folder::new("heads");
-    let fleet = Fleet::new(&record);
+    let fleet = Fleet::new(record);
     let reads = Manner { reads: true, first_ms: 80, events: 0, between_ms: 0 };
     let writes = Manner { reads: false, first_ms: 60, events: 40, between_ms: 40 };
     let instances = [
@@ -31,10 +30,10 @@
     let discovery = Discovery::start(&instances);
     let conductor = Conductor::start(&folder, "only", free_address(), &discovery, LIMITS);
     if !conductor.is_ready_within(Duration::from_secs(20)) {
-        return record.close(file, "the conductor is not ready; the case could not run", 2);
+        return record.close("the conductor is not ready; the case could not run", 2);
     }
     let over = Flag::default();
-    let usual = usual_clients(&record, conductor.listen, "climb-query", ms(200), 4_000, &over);
+    let usual = usual_clients(record, conductor.listen, "climb-query", ms(200), 4_000, &over);
     thread::sleep(ms(2_000));
 
     let mut held = Vec::new();
@@ -64,7 +63,7 @@
         // Two looks in a row, and only memory of its own: less than a platform counts.
         if now_kb > limit_kb && was_over {
             record.note("platform: over memory_mb, the conductor is killed");
-            conductor.signal("-KILL");
+            conductor.signal("KILL");
             is_killed = true;
         }
         was_over = now_kb > limit_kb;
@@ -82,10 +81,9 @@
             "broken: the conductor had {most_kb} kB of memory of its own, of {limit_kb}, and was killed; {unanswered} requests \
              of usual clients had no whole answer"
         );
-        return record.close(file, &text, 1);
+        return record.close(&text, 1);
     }
     record.close(
-        file,
         &format!("held: at most {most_kb} kB of {limit_kb}; {unanswered} requests without an answer"),
         0,
     )
--- a/review/standins-2/upgrade.rs
+++ b/review/standins-2/upgrade.rs
@@ -1,7 +1,7 @@
 //! A newer process takes over from an older one, and operators take a writer out of service at the newer one's address while
 //! that one still starts. The disruption is an outage of discovery.
 
-use std::path::Path;
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -18,10 +18,9 @@
 /// When operators restart the instance, after the yes: past the grace.
 const RESTART_MS: u64 = 1_400;
 
-pub fn play(file: &Path, is_troubled: bool) -> i32 {
-    let record = Record::new();
+pub fn play(record: &Arc<Record>, is_troubled: bool) -> i32 {
     let folder = Folder::new("upgrade");
-    let fleet = Fleet::new(&record);
+    let fleet = Fleet::new(record);
     let reads = Manner { reads: true, first_ms: 500, events: 0, between_ms: 0 };
     let writes = Manner { reads: false, first_ms: 60, events: 10, between_ms: 40 };
     let instances = [
@@ -33,12 +32,12 @@
     let discovery = Discovery::start(&instances);
     let older = Conductor::start(&folder, "older", free_address(), &discovery, LIMITS);
     if !older.is_ready_within(Duration::from_secs(20)) {
-        return record.close(file, "the conductor is not ready; the case could not run", 2);
+        return record.close("the conductor is not ready; the case could not run", 2);
     }
     record.note("the older process is ready");
 
     let load_over = Flag::default();
-    let load = usual_clients(&record, older.listen, "route-save", ms(70), 24_000, &load_over);
+    let load = usual_clients(record, older.listen, "route-save", ms(70), 24_000, &load_over);
     thread::sleep(ms(3_000));
 
     if is_troubled {
@@ -58,7 +57,7 @@
         }
     }
     let Some(yes_at) = yes_at else {
-        return record.close(file, "the newer process takes no call; the case could not run", 2);
+        return record.close("the newer process takes no call; the case could not run", 2);
     };
     record.note(format!("operator: the newer process said yes to maintenance of {BANNED}"));
     let mut is_serving = false;
@@ -67,10 +66,10 @@
         thread::sleep(ms(10));
     }
     if !is_serving {
-        return record.close(file, "the newer process does not serve within 6 s; the case could not run", 2);
+        return record.close("the newer process does not serve within 6 s; the case could not run", 2);
     }
     record.note("the newer process says that it serves; SIGTERM to the older one");
-    older.signal("-TERM");
+    older.signal("TERM");
     let told_to_end = Instant::now();
     let (mut is_killed, mut is_restarted) = (false, false);
     while outage_began.elapsed() < ms(OUTAGE_MS) || told_to_end.elapsed() < ms(KILL_AFTER_MS) {
@@ -79,7 +78,7 @@
             is_restarted = true;
         }
         if !is_killed && told_to_end.elapsed() >= ms(KILL_AFTER_MS) {
-            older.signal("-KILL");
+            older.signal("KILL");
             is_killed = true;
         }
         thread::sleep(ms(10));
@@ -104,18 +103,14 @@
         .collect();
     let before = arrivals.iter().filter(|a| a.instance == BANNED && a.at_ms < yes_at).count();
     if before == 0 {
-        return record.close(file, "the writer had no work before; the case could not run", 2);
+        return record.close("the writer had no work before; the case could not run", 2);
     }
     if late.is_empty() {
-        return record.close(
-            file,
-            &format!("held: nothing new to {BANNED} past the grace ({before} requests before)"),
-            0,
-        );
+        return record
+            .close(&format!("held: nothing new to {BANNED} past the grace ({before} requests before)"), 0);
     }
     late.iter().for_each(|one| record.note(format!("late: {one}")));
     record.close(
-        file,
         &format!(
             "broken: {} requests sent to {BANNED} past the grace, {lost} of them not served: {}",
             late.len(),
--- a/review/standins-2/world.rs
+++ b/review/standins-2/world.rs
@@ -2,7 +2,7 @@
 //! standard library alone, a thread for each connection, loopback addresses and the real clock.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::fmt::Write as _;
+use std::fs::{File, OpenOptions};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
@@ -16,15 +16,20 @@
     Duration::from_millis(n)
 }
 
-/// What happened, a line each, with the milliseconds since the start.
+/// What happened, a line each, with the milliseconds since the start. It is written as it happens, so that a play that is ended
+/// early leaves its record as well.
 pub struct Record {
     start: Instant,
-    lines: Mutex<String>,
+    file: Mutex<File>,
 }
 
 impl Record {
-    pub fn new() -> Arc<Self> {
-        Arc::new(Record { start: Instant::now(), lines: Mutex::default() })
+    /// Begins the record of a case anew.
+    pub fn begin(path: &Path, case: &str, is_troubled: bool) -> io::Result<Arc<Self>> {
+        let file = Mutex::new(File::create(path)?);
+        let record = Arc::new(Record { start: Instant::now(), file });
+        record.note(format!("case {case}, {} the disruption", if is_troubled { "with" } else { "without" }));
+        Ok(record)
     }
 
     /// Milliseconds since the start.
@@ -33,20 +38,23 @@
     }
 
     pub fn note(&self, text: impl AsRef<str>) {
-        let _ = writeln!(lock(&self.lines), "{:>7} ms  {}", self.now(), text.as_ref());
+        let line = format!("{:>7} ms  {}\n", self.now(), text.as_ref());
+        // A case whose record cannot be written to its end is not reported as played: `close` finds that.
+        let _ = lock(&self.file).write_all(line.as_bytes());
     }
 
-    /// Writes the record and the verdict, and returns the exit code.
-    pub fn close(&self, file: &Path, verdict: &str, code: i32) -> i32 {
-        self.note(format!("verdict: {verdict}"));
+    /// Writes the verdict, and returns the exit code.
+    pub fn close(&self, verdict: &str, code: i32) -> i32 {
         println!("{verdict}");
-        match std::fs::write(file, &*lock(&self.lines)) {
-            Ok(()) => code,
-            Err(fault) => {
-                println!("cannot write {}: {fault}", file.display());
+        let line = format!("{:>7} ms  verdict: {verdict}\n", self.now());
+        let written = lock(&self.file).write_all(line.as_bytes());
+        written.map_or_else(
+            |fault| {
+                println!("the record cannot be written: {fault}");
                 2
-            }
-        }
+            },
+            |()| code,
+        )
     }
 }
 
@@ -455,18 +463,23 @@
     }
 }
 
+/// Sends a signal to a process that this one started, by the shell's own command.
+fn send_signal(signal: &str, process: u32) {
+    let _ = Command::new("/bin/sh").args(["-c", &format!("kill -{signal} {process}")]).status();
+}
+
 /// Processes that were started and not yet ended.
 static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
 /// Ends the case as one that could not run if it takes too long, with all processes that it started.
-pub fn end_after(limit: Duration) {
+pub fn end_after(record: &Arc<Record>, limit: Duration) {
+    let record = record.clone();
     thread::spawn(move || {
         thread::sleep(limit);
         for process in lock(&STARTED).iter() {
-            let _ = Command::new("kill").args(["-KILL", &process.to_string()]).status();
+            send_signal("KILL", *process);
         }
-        println!("the case took too long; it could not run");
-        std::process::exit(2);
+        std::process::exit(record.close("the case took too long; it could not run", 2));
     });
 }
 
@@ -497,7 +510,7 @@
         std::fs::write(&file, config).expect("the configuration");
         let deploy = std::fs::read_to_string("deploy/balancer.toml").expect("the deploy file");
         let run = deploy.lines().find_map(|line| line.strip_prefix("run = \"")?.strip_suffix('"'));
-        let log = std::fs::File::create(folder.0.join(format!("log-{label}"))).expect("a log");
+        let log = File::create(folder.0.join(format!("log-{label}"))).expect("a log");
         let process = Command::new("/bin/sh")
             .args(["-c", run.expect("the run line")])
             .env("LB_NAME", "n3")
@@ -512,6 +525,9 @@
             .spawn()
             .expect("the conductor");
         lock(&STARTED).push(process.id());
+        // For a script that is ended early.
+        let pids = OpenOptions::new().create(true).append(true).open(std::env::temp_dir().join("pids"));
+        let _ = pids.and_then(|mut pids| writeln!(pids, "{}", process.id()));
         Conductor { process, listen, operator }
     }
 
@@ -535,7 +551,7 @@
     }
 
     pub fn signal(&self, signal: &str) {
-        let _ = Command::new("kill").args([signal, &self.process.id().to_string()]).status();
+        send_signal(signal, self.process.id());
     }
 }
 
