--- a/review/standins-3/cases.rs
+++ b/review/standins-3/cases.rs
@@ -25,7 +25,7 @@
     const CROWD: usize = 1_000;
     const USUAL: u32 = 60;
     const PATIENCE: u64 = 3_000;
-    let pace = Pace { read: 100, first_token: 50, events: 4, between: 50 };
+    let pace = Pace { read: 100, first_token: 50, events: 4, between: 50, slow: NEVER };
     let platform = Platform::new(root, folder, 3, 3, pace);
     let (mut child, address) = match one_conductor(&platform, (96, 256), true) {
         Ok(started) => started,
@@ -116,7 +116,7 @@
     const LIMIT_MB: u32 = 32;
     const BAD: usize = 450;
     const HEAD: usize = 32_000;
-    let pace = Pace { read: 100, first_token: 50, events: 60, between: 100 };
+    let pace = Pace { read: 100, first_token: 50, events: 60, between: 100, slow: NEVER };
     let platform = Platform::new(root, folder, 3, 3, pace);
     let (mut child, address) = match one_conductor(&platform, (LIMIT_MB, 1_024), true) {
         Ok(started) => started,
@@ -188,7 +188,7 @@
     const CLIENTS: u32 = 12;
     const FURTHER: u32 = 150;
     const LEFT_SLACK: u64 = 100;
-    let pace = Pace { read: 180, first_token: 50, events: 6, between: 50 };
+    let pace = Pace { read: 180, first_token: 50, events: 6, between: 50, slow: NEVER };
     let platform = Platform::new(root, folder, 3, 3, pace);
     let (mut child, address) = match one_conductor(&platform, (192, 1_024), true) {
         Ok(started) => started,
@@ -238,7 +238,7 @@
 fn maintenance(root: &Path, folder: &Path, trouble: bool) -> Played {
     const GRACE: u64 = 1_000;
     const BANNED: &str = "s-write3";
-    let pace = Pace { read: 450, first_token: 50, events: 10, between: 50 };
+    let pace = Pace { read: 450, first_token: 50, events: 10, between: 50, slow: NEVER };
     let platform = Platform::new(root, folder, 2, 2, pace);
     let (listen, older, newer) = (free_address(), free_address(), free_address());
     let config = platform.configure(listen, Some(older), (192, 1_024));
@@ -312,3 +312,44 @@
     platform.record.note(format!("{late} attempts at {BANNED} began over {bound} ms after the yes"));
     (if late > 0 { Verdict::Broken } else { Verdict::Held }, platform)
 }
+
+/// A writer of five instances that is slow for a while, under clients that do not ask for the rest of a stream.
+fn slow(root: &Path, folder: &Path, trouble: bool) -> Played {
+    /// From one event to the next, within the 5 s that a client may be left waiting.
+    const GAP: u64 = 4_600;
+    const REQUESTS: u32 = 12;
+    const PATIENCE: u64 = 4_000;
+    let slow = if trouble { (3, 3, GAP) } else { NEVER };
+    let pace = Pace { read: 100, first_token: 50, events: 12, between: 100, slow };
+    let platform = Platform::of(UB_BOOKING, root, folder, (2, 3), pace);
+    let (mut child, address) = match one_conductor(&platform, (192, 1_024), true) {
+        Ok(started) => started,
+        Err(why) => return (Verdict::CouldNotRun(why), platform),
+    };
+    let mut clients = Vec::new();
+    for number in 0..REQUESTS {
+        let record = platform.record.clone();
+        clients.push(thread::spawn(move || {
+            let id = id(0xa0, number);
+            let Ok(socket) = TcpStream::connect(address) else { return Got::NoConnection };
+            let mut wire = Wire::new(socket);
+            let (got, sent, began) = ask(&mut wire, &request(&id, "book", PATIENCE, 2_000, 2_000), PATIENCE);
+            record.at(sent, format!("client {id} has sent its request"));
+            record.at(began, format!("client {id}: its answer begins"));
+            record.note(format!("client {id}: {got:?}"));
+            got
+        }));
+        pause(400);
+    }
+    let got: Vec<Got> = clients.into_iter().map(|client| client.join().unwrap_or(Got::NoConnection)).collect();
+    // An instance notices at its next event that its stream was cut.
+    pause(1_000);
+    end(&mut child);
+    let cut = got.iter().filter(|got| **got == Got::Answer(200, false)).count();
+    let whole = got.iter().filter(|got| **got == Got::Answer(200, true)).count();
+    platform.record.note(format!("{} requests: {whole} served whole, {cut} cut off while their instances ran", got.len()));
+    if whole + cut == 0 {
+        return (Verdict::CouldNotRun("no stream began".into()), platform);
+    }
+    (if cut > 0 { Verdict::Broken } else { Verdict::Held }, platform)
+}
--- a/review/standins-3/stand.rs
+++ b/review/standins-3/stand.rs
@@ -188,6 +188,21 @@
     first_token: u64,
     events: u32,
     between: u64,
+    /// From which event on, and for how many, an event takes so long: the instance is slow for a while.
+    slow: (u32, u32, u64),
+}
+
+/// The instance that is slow, if one is.
+const SLOW_ONE: &str = "s-write4";
+
+/// An instance that is never slow.
+const NEVER: (u32, u32, u64) = (0, 0, 0);
+
+/// What differs from one deployment to another.
+#[derive(Clone, Copy)]
+struct Site {
+    settings: &'static str,
+    zone: &'static str,
 }
 
 /// An attempt as an instance saw it.
@@ -210,6 +225,7 @@
     silent: Arc<AtomicBool>,
     discovery: SocketAddr,
     pids: Arc<Mutex<Vec<u32>>>,
+    site: Site,
 }
 
 fn listen() -> TcpListener {
@@ -222,6 +238,10 @@
 
 impl Platform {
     fn new(root: &Path, folder: &Path, readers: usize, writers: usize, pace: Pace) -> Self {
+        Self::of(CLIMB_ASSIST, root, folder, (readers, writers), pace)
+    }
+
+    fn of(site: Site, root: &Path, folder: &Path, (readers, writers): (usize, usize), pace: Pace) -> Self {
         let listener = listen();
         let platform = Platform {
             root: root.into(),
@@ -232,6 +252,7 @@
             silent: Arc::default(),
             discovery: listener.local_addr().expect("an address"),
             pids: Arc::default(),
+            site,
         };
         for number in 0..readers + writers {
             let role = if number < readers { Role::Reader } else { Role::Writer };
@@ -262,7 +283,8 @@
         for Instance { id, address, role } in self.instances.lock().unwrap().iter() {
             let kind = if *role == Role::Reader { "prefill" } else { "decode" };
             servers.push(format!(
-                r#"{{"id":"{id}","addr":"{address}","zone":"daejeon-1","kind":"{kind}","cell":1,"state":"Ready","weight":1.0,"started_ms":0}}"#
+                r#"{{"id":"{id}","addr":"{address}","zone":"{}","kind":"{kind}","cell":1,"state":"Ready","weight":1.0,"started_ms":0}}"#,
+                self.site.zone
             ));
         }
         format!(r#"{{"version":41,"full":true,"servers":[{}]}}"#, servers.join(","))
@@ -335,8 +357,16 @@
         pause(pace.first_token);
         socket.write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")?;
         let event = "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"oqvh\"},\"finish_reason\":null}]}\n\n";
-        for _ in 0..pace.events {
-            write!(socket, "{:x}\r\n{event}\r\n", event.len())?;
+        for number in 0..pace.events {
+            let (from, most, slow) = if instance.id == SLOW_ONE { pace.slow } else { NEVER };
+            if (from..from + most).contains(&number) {
+                pause(slow.saturating_sub(pace.between));
+                let written = write!(socket, "{:x}\r\n{event}\r\n", event.len());
+                self.record.note(format!("{} writes event {number} of {request}, {slow} ms after the one before: {written:?}", instance.id));
+                written?;
+            } else {
+                write!(socket, "{:x}\r\n{event}\r\n", event.len())?;
+            }
             pause(pace.between);
         }
         socket.write_all(b"e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n")?;
@@ -353,7 +383,7 @@
             "limits":{{"cores":1.0,"memory_mb":{memory},"sockets":{sockets}}},"known":{},"settings":{}}}"#,
             self.discovery,
             self.list(),
-            SETTINGS
+            self.site.settings
         );
         let path = self.folder_of_run().join(format!("config-{}.json", self.pids.lock().unwrap().len()));
         std::fs::write(&path, text).expect("a configuration");
@@ -402,8 +432,28 @@
     }
 }
 
-/// The settings of a small deployment, in the form of the wire page and with the figures of climb-assist's site file.
-const SETTINGS: &str = r#"{"accounts":[],"balancers":2,"blend":{"whole":0.7,"worstClass":0.2,"worstTenant":0.0,"worstWindow":0.1},
+/// A small deployment with the figures of climb-assist's site file, in the form of the wire page.
+const CLIMB_ASSIST: Site = Site { settings: CLIMB_ASSIST_SETTINGS, zone: "daejeon-1" };
+/// The same of ub-booking, whose clients do not ask for the rest of a stream.
+const UB_BOOKING: Site = Site { settings: UB_BOOKING_SETTINGS, zone: "ub-east" };
+
+const UB_BOOKING_SETTINGS: &str = r#"{"accounts":[],"balancers":2,"blend":{"whole":0.65,"worstClass":0.2,"worstTenant":0.0,"worstWindow":0.15},
+"clients":{"marksRetry":false},"domainType":"twostage","failureDomains":["ub-east","ub-west"],
+"familyInfo":{"ahead":false,"aimUsPer1000PromptTokens":[60000.0,40000.0],"farPrice":0.04,"localRead":false,
+"memoryTokens":[205000,140000],"pinLimit":500.0,"resume":false,"roleByKind":["read","write"],"tokenAim":[50.0,60.0]},
+"invariants":{"answerSlack":16.0,"askWithin":10000.0,"drainGrace":250.0,"fallMultiple":2.5,"overloadFor":2000.0,
+"rampTime":14000.0,"startCapacity":0.25},"kinds":["prefill","decode"],
+"lanes":[{"deadline":4000.0,"group":"all","lateWorth":0.2,"name":"ask","objective":1000.0,"semantics":"read_like","stream":true,
+"window":5000.0,"worth":2.0},{"deadline":4000.0,"group":"all","lateWorth":0.2,"name":"book","objective":1000.0,
+"semantics":"non_idempotent","stream":true,"window":5000.0,"worth":6.0}],
+"layers":["booking-models"],"limits":{"cancelling":true,"connectTimeout":250.0,"cpuUsPerRequest":0.0,"cpuUsPerS":500000,
+"idleClose":30000.0,"maxAttempts":6,"maxRetryAfter":1000.0,"mayDuplicate":false,"mayProbe":false,"mayTell":false,
+"mostHeld":20000,"multiplex":32,"retryAfter":true},"locality":"ub-east","me":0,"membershipMode":"push",
+"overShareWorth":0.1,"prices":{"connection":0.0,"crossZone":0.02,"handshake":0.0,"lateFail":0.034,"membershipMode":0.0,
+"moves":0.0,"origin":0.0,"peer":0.0,"probe":0.0,"waste":0.093},"report":{"columns":[],"source":"silent"},
+"step":4.0,"tier":0,"weights":"nominal","worthBy":"work"}"#;
+
+const CLIMB_ASSIST_SETTINGS: &str = r#"{"accounts":[],"balancers":2,"blend":{"whole":0.7,"worstClass":0.2,"worstTenant":0.0,"worstWindow":0.1},
 "clients":{"marksRetry":true},"domainType":"twostage","failureDomains":["daejeon-1","sejong-1"],
 "familyInfo":{"ahead":false,"aimUsPer1000PromptTokens":[40000.0,40000.0],"farPrice":0.03,"localRead":false,
 "memoryTokens":[225677,142841],"pinLimit":1000.0,"reportX0":"share of memory that is held","resume":true,
@@ -530,6 +580,7 @@
         "crowd" => crowd(root, folder, trouble),
         "memory" => memory(root, folder, trouble),
         "gone" => gone(root, folder, trouble),
+        "slow" => slow(root, folder, trouble),
         "maintenance" => maintenance(root, folder, trouble),
         _ => {
             eprintln!("no such case: {case}");
