--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -2,6 +2,7 @@
 //! exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run. `TROUBLE=0` leaves the disruption out.
 
 mod crowd;
+mod gone;
 mod heads;
 mod twice;
 mod upgrade;
@@ -26,6 +27,7 @@
     let code = match name.as_str() {
         "queue" => crowd::queue(&record, is_troubled),
         "upgrade" => upgrade::play(&record, is_troubled),
+        "gone" => gone::play(&record, is_troubled),
         "heads" => heads::play(&record, is_troubled),
         "twice" => twice::play(&record, is_troubled),
         _ => record.close("there is no such case", 2),
