Look for a client's close at its socket before an attempt's first byte

Cause: the check before the first byte asked a flag that another task sets while it reads past what stands before the close, 32 KiB in some 2 ms; buffers of both ends hold 10 MB.

Evidence: late calls only with bytes behind the request, later with more of them; the planner is told ClientLeft after the attempt's begin.

Change: ConnectionState::is_client_waiting is the one owner of whether the client waits, and looks at the socket in that moment, past all that is unread; attempts of both fronts ask it. Reading past goes 1 MiB at a time up to what buffers may hold.

--- a/src/node/front/chat.rs
+++ b/src/node/front/chat.rs
@@ -310,7 +310,8 @@
         #[cfg(feature = "cluster")]
         claimed.iter_mut().for_each(GrantedClaim::used);
         let (streamed, payload) = (!ask.is_unary, Payload { id: id.clone(), target, headers, body });
-        let answer = begin(&self.core, &self.shutdown, ask, (payload, permit), ()).await.answer;
+        let connection = self.intake.connection_of_request(&request);
+        let answer = begin(&self.core, &self.shutdown, ask, (payload, permit), connection, ()).await.answer;
         #[cfg(feature = "cluster")]
         if let Some(claim) = claimed {
             match &answer {
--- a/src/node/front/intake/connection.rs
+++ b/src/node/front/intake/connection.rs
@@ -12,6 +12,8 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout};
 
+use super::socket::Look;
+
 /// For a client to send a whole request: an error or a close is owed within 3 s.
 pub(super) const REQUEST_TIME: Duration = Duration::from_millis(2_600);
 /// Buffer of a client's connection; heads that are longer are refused.
@@ -53,10 +55,16 @@
     pub(super) whole: Arc<AtomicBool>,
     /// Its head gave the body's length in two ways; a part of it may be meant as another request.
     pub conflicting: bool,
+    /// Number of its connection in the intake.
+    pub(super) connection: u64,
 }
 
+/// Looks at once whether a client has closed its connection, reading past what came before.
+type CloseLookup = Box<dyn Fn() -> Look>;
+
 /// A client's connection, as its task, its bytes and the intake see it.
 pub struct ConnectionState {
+    number: u64,
     pub(super) stage: Cell<Stage>,
     pub(super) since: Cell<Instant>,
     /// When bytes last came.
@@ -73,11 +81,17 @@
     making_room: Notify,
     /// A request's head was taken.
     head_taken: Notify,
+    /// The client has closed the connection while its request waited.
+    has_closed: Cell<bool>,
+    close_lookup: RefCell<Option<CloseLookup>>,
+    /// Bytes that were read past behind the open request.
+    read_past: Cell<u64>,
 }
 
 impl ConnectionState {
-    pub(super) fn new() -> Rc<Self> {
+    pub(super) fn new(number: u64) -> Rc<Self> {
         Rc::new(ConnectionState {
+            number,
             stage: Cell::new(Stage::Silent),
             since: Cell::new(Instant::now()),
             heard: Cell::new(Instant::now()),
@@ -89,9 +103,44 @@
             whole: RefCell::default(),
             making_room: Notify::new(),
             head_taken: Notify::new(),
+            has_closed: Cell::new(false),
+            close_lookup: RefCell::default(),
+            read_past: Cell::new(0),
         })
     }
 
+    /// Sets how the client's close is looked up.
+    pub(super) fn set_close_lookup(&self, lookup: impl Fn() -> Look + 'static) {
+        self.close_lookup.replace(Some(Box::new(lookup)));
+    }
+
+    /// Notes what a look behind the open request has found.
+    pub(super) fn looked(&self, look: Look) {
+        self.behind.set(self.behind.get() + look.bytes as u64);
+        self.read_past.set(self.read_past.get() + look.bytes as u64);
+        self.has_closed.set(self.has_closed.get() || look.has_closed);
+    }
+
+    /// Returns how many bytes were read past behind the open request.
+    pub(super) fn read_past_bytes(&self) -> u64 {
+        self.read_past.get()
+    }
+
+    /// Returns whether a look has found that the client closed the connection.
+    pub(super) fn has_closed(&self) -> bool {
+        self.has_closed.get()
+    }
+
+    /// Returns whether the client still waits for the answer to its request. While the request is whole and waits, the
+    /// connection is looked at in this moment: the runtime may learn of a close only later, and behind unread bytes later still.
+    pub fn is_client_waiting(&self) -> bool {
+        if self.waits() && !self.has_closed.get() {
+            let look = self.close_lookup.borrow().as_ref().map(|lookup| lookup());
+            look.into_iter().for_each(|look| self.looked(look));
+        }
+        !self.has_closed.get()
+    }
+
     pub(super) fn turn(&self, stage: Stage) {
         self.stage.set(stage);
         self.since.set(Instant::now());
@@ -194,7 +243,8 @@
         let unsure = !self.head_whole.get() || has(CONTENT_LENGTH.as_str());
         let whole = Arc::<AtomicBool>::default();
         self.whole.replace(Some(whole.clone()));
-        Arrival { since, whole, conflicting: chunked && unsure }
+        self.read_past.set(0);
+        Arrival { since, whole, conflicting: chunked && unsure, connection: self.number }
     }
 
     /// Whether a request has come whole and waits for its answer: what comes now belongs to no request that this connection
--- a/src/node/front/intake/mod.rs
+++ b/src/node/front/intake/mod.rs
@@ -1,9 +1,11 @@
 //! Room for what clients bring: connections, and bytes of bodies. Who brings nothing makes room for who does.
 //!
-//! [`connection`] is where one connection stands, [`stream`] watches its bytes, [`body`] reads a request's body.
+//! [`connection`] is where one connection stands, [`socket`] tells whether its client has closed it, [`stream`] watches its bytes,
+//! [`body`] reads a request's body.
 
 pub mod body;
 pub mod connection;
+pub mod socket;
 pub mod stream;
 
 use std::cell::{Cell, RefCell};
@@ -11,7 +13,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use connection::{ConnectionState, Stage};
+use connection::{Arrival, ConnectionState, Stage};
+use hyper::Request;
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
@@ -116,7 +119,8 @@
 
     /// Takes a connection in. Past the limit another one makes room, if it has no request open.
     pub fn enter(self: &Rc<Self>) -> Place {
-        let (number, connection) = (self.next.get(), ConnectionState::new());
+        let number = self.next.get();
+        let connection = ConnectionState::new(number);
         self.next.set(number + 1);
         if self.connections.borrow().len() >= self.most.get() {
             self.make_room();
@@ -125,6 +129,12 @@
         Place { intake: self.clone(), number, state: connection }
     }
 
+    /// Returns the connection on which a request arrived, while it is there.
+    pub fn connection_of_request<B>(&self, request: &Request<B>) -> Option<Rc<ConnectionState>> {
+        let arrival = request.extensions().get::<Arrival>()?;
+        self.connections.borrow().get(&arrival.connection).cloned()
+    }
+
     /// Waits until one more connection can be taken, if only to be told that there is no room.
     pub async fn vacancy(&self) {
         while self.connections.borrow().len() >= self.most.get() + self.spare() {
--- a/src/node/front/intake/stream.rs
+++ b/src/node/front/intake/stream.rs
@@ -13,6 +13,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use super::connection::{ConnectionState, Stage};
+use super::socket::{ClientSocket, Look};
 use crate::node::process::shutdown::Shutdown;
 
 /// How long a connection is still read after its last answer: closed over unread bytes, it would be reset and the
@@ -24,8 +25,14 @@
 const REFUSAL: &[u8] = b"HTTP/1.1 429 Too Many Requests\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
 /// Between reads of what nobody wants, so that it does not use up the core.
 const LINGER_PAUSE: Duration = Duration::from_millis(1);
-/// Read at once of what nobody wants.
+/// Read by one call of what nobody wants.
 const SCRATCH: usize = 32 * 1024;
+/// The most that the buffers of both ends of a connection hold: what a client may have sent before it closed. The usual
+/// limits of Linux are 6 MB for the receiver and 4 MB for the sender.
+const MAX_BUFFERED_BYTES: usize = 16 * 1024 * 1024;
+/// Read in one turn behind a request that waits, up to [`MAX_BUFFERED_BYTES`]: all of that takes some 40 ms, as the client's
+/// close has to be known within 0.1 s.
+const CATCH_UP_BYTES: usize = 1024 * 1024;
 
 /// A client's byte stream, watched by its connection; it outlives the library's use of it.
 pub struct Stream<I> {
@@ -33,12 +40,21 @@
     connection: Rc<ConnectionState>,
 }
 
-impl<I: AsyncRead + AsyncWrite + Unpin> Stream<I> {
-    /// Watches a stream.
+impl<I: ClientSocket + 'static> Stream<I> {
+    /// Watches a stream, and lets its connection look for the client's close at any moment.
     pub fn new(io: I, connection: Rc<ConnectionState>) -> Self {
-        Stream { io: Rc::new(RefCell::new(io)), connection }
+        let io = Rc::new(RefCell::new(io));
+        // The stream keeps the socket open, not the state of its connection.
+        let socket = Rc::downgrade(&io);
+        connection.set_close_lookup(move || match socket.upgrade() {
+            Some(io) => io.borrow().look_for_close(MAX_BUFFERED_BYTES),
+            None => Look { bytes: 0, has_closed: true },
+        });
+        Stream { io, connection }
     }
+}
 
+impl<I: AsyncRead + AsyncWrite + Unpin> Stream<I> {
     /// A second handle.
     pub fn handle(&self) -> Self {
         Stream { io: self.io.clone(), connection: self.connection.clone() }
@@ -50,12 +66,14 @@
     pub async fn gone(mut self) {
         let connection = self.connection.clone();
         loop {
-            let read =
-                poll_fn(|cx| if connection.waits() { self.poll_discard(cx) } else { Poll::Pending }).await;
-            if read == 0 {
+            let is_catching_up = connection.read_past_bytes() < MAX_BUFFERED_BYTES as u64;
+            let most = if is_catching_up { CATCH_UP_BYTES } else { SCRATCH };
+            let look =
+                poll_fn(|cx| if connection.waits() { self.poll_discard(cx, most) } else { Poll::Pending });
+            connection.looked(look.await);
+            if connection.has_closed() {
                 return;
             }
-            connection.behind.set(connection.behind.get() + read as u64);
             sleep(LINGER_PAUSE).await;
         }
     }
@@ -72,7 +90,7 @@
         connection.turn(Stage::Leaving);
         let last = async {
             let _ = self.shutdown().await;
-            while poll_fn(|cx| self.poll_discard(cx)).await > 0 {
+            while !poll_fn(|cx| self.poll_discard(cx, SCRATCH)).await.has_closed {
                 sleep(LINGER_PAUSE).await;
             }
         };
@@ -83,12 +101,22 @@
         }
     }
 
-    /// Reads past what came, so many bytes; none at the end.
-    fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<usize> {
-        let mut scratch = [MaybeUninit::uninit(); SCRATCH];
-        let mut buffer = ReadBuf::uninit(&mut scratch);
-        let read = ready!(Pin::new(&mut *self.io.borrow_mut()).poll_read(cx, &mut buffer));
-        Poll::Ready(read.map_or(0, |()| buffer.filled().len()))
+    /// Reads past what came, about so many bytes at most; waits while nothing has come.
+    fn poll_discard(&mut self, cx: &mut Context<'_>, max_bytes: usize) -> Poll<Look> {
+        let mut look = Look::default();
+        while look.bytes < max_bytes && !look.has_closed {
+            let mut scratch = [MaybeUninit::uninit(); SCRATCH];
+            let mut buffer = ReadBuf::uninit(&mut scratch);
+            match Pin::new(&mut *self.io.borrow_mut()).poll_read(cx, &mut buffer) {
+                Poll::Pending if look.bytes == 0 => return Poll::Pending,
+                Poll::Pending => break,
+                Poll::Ready(read) => {
+                    look.bytes += buffer.filled().len();
+                    look.has_closed = read.is_err() || buffer.filled().is_empty();
+                }
+            }
+        }
+        Poll::Ready(look)
     }
 }
 
--- a/src/node/front/mod.rs
+++ b/src/node/front/mod.rs
@@ -21,7 +21,6 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
-use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::spawn_local;
@@ -42,6 +41,7 @@
 use accept::Acceptor;
 use intake::body::BodyPermit;
 use intake::connection::{BUFFER, ConnectionState, Framed};
+use intake::socket::ClientSocket;
 use intake::stream::Stream;
 use intake::{Intake, Place};
 use spiffe::{Identities, Peer};
@@ -105,17 +105,20 @@
     }
 }
 
-/// Starts a request's life, with the room of its body and what it keeps until its end, and waits for its answer. It has a task
+/// Starts the life of a request that came on this connection, with the room of its body and what it keeps until its end, and waits
+/// for its answer. It has a task
 /// of its own: a front's future is dropped when the client leaves, and the request still has to be withdrawn and let go of. In a
 /// shutdown a request that comes too late is refused and nothing is sent for it.
 pub async fn begin<K: 'static>(
-    core: &Core, shutdown: &Shutdown, ask: NewRequest, payload: (Payload, BodyPermit), keep: K,
+    core: &Core, shutdown: &Shutdown, ask: NewRequest, payload: (Payload, BodyPermit),
+    connection: Option<Rc<ConnectionState>>, keep: K,
 ) -> FinalAnswer {
     if !shutdown.takes(&ask) {
         add(&core.counters.shed);
         return FinalAnswer { answer: Answer::Refused { retry_after: None }, revision: None };
     }
     let (caller, answer) = Responder::new(payload.0.id.clone());
+    let caller = caller.on_connection(connection);
     let (core, pending) = (core.clone(), shutdown.pending());
     spawn_local(async move {
         handle_request(core, ask, payload, caller).await;
@@ -192,7 +195,7 @@
 
 async fn connection<I, S>(io: I, service: S, shutdown: Shutdown, (place, pending): (Place, Pending))
 where
-    I: AsyncRead + AsyncWrite + Unpin + 'static,
+    I: ClientSocket + 'static,
     S: Service<Request<Incoming>, Response = Reply, Error = Infallible> + Clone + 'static,
 {
     let state = place.state.clone();
--- a/src/node/front/platform.rs
+++ b/src/node/front/platform.rs
@@ -201,8 +201,9 @@
         let target = request.uri().path_and_query().cloned().ok_or(Malformed::Path)?;
         let payload =
             Payload { id: id.clone(), target, headers: end_to_end_headers(request.headers()), body };
+        let connection = self.intake.connection_of_request(&request);
         let FinalAnswer { answer, revision } =
-            begin(&self.core, &self.shutdown, ask, (payload, permit), open).await;
+            begin(&self.core, &self.shutdown, ask, (payload, permit), connection, open).await;
         let mut reply = match answer {
             Answer::Events { form, stream: events } => stream(form.content_type, Pieces::new(events, id)),
             Answer::Refused { retry_after } => refusal(retry_after),
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -17,6 +17,7 @@
 use super::{Core, to_duration};
 use crate::api::{AttemptId, HostId, Load, Micros, NewRequest, Outcome};
 use crate::control::state::Revision;
+use crate::node::front::intake::connection::ConnectionState;
 use crate::node::upstream::attempt::{InitialResult, Payload};
 use crate::node::upstream::events::{AnswerHead, StreamError};
 use crate::node::upstream::lease_keeper::LeaseKeeper;
@@ -70,18 +71,24 @@
 /// Tells whether a request's client still waits for its answer. It is checked immediately before anything is sent for the
 /// request.
 #[derive(Clone)]
-pub struct ClientPresence(AnswerSender);
+pub struct ClientPresence {
+    answer_sender: AnswerSender,
+    connection: Option<Rc<ConnectionState>>,
+}
 
 impl ClientPresence {
-    /// Returns whether the client still waits for its answer.
+    /// Returns whether the client still waits for its answer. The client's connection itself is looked at, as the front may
+    /// learn of a close only later.
     pub fn is_waiting(&self) -> bool {
-        self.0.borrow().as_ref().is_some_and(|sender| !sender.is_closed())
+        let is_wanted = self.answer_sender.borrow().as_ref().is_some_and(|sender| !sender.is_closed());
+        is_wanted && self.connection.as_ref().is_none_or(|connection| connection.is_client_waiting())
     }
 }
 
 /// Gives a request its final answer, and detects that its client has left.
 pub struct Responder {
     answer_sender: AnswerSender,
+    connection: Option<Rc<ConnectionState>>,
     id: Rc<str>,
     revision: Option<Revision>,
 }
@@ -91,12 +98,17 @@
     pub fn new(id: Rc<str>) -> (Self, oneshot::Receiver<FinalAnswer>) {
         let (sender, receiver) = oneshot::channel();
         let answer_sender = Rc::new(RefCell::new(Some(sender)));
-        (Responder { answer_sender, id, revision: None }, receiver)
+        (Responder { answer_sender, connection: None, id, revision: None }, receiver)
+    }
+
+    /// Names the connection on which the client waits.
+    pub fn on_connection(self, connection: Option<Rc<ConnectionState>>) -> Self {
+        Responder { connection, ..self }
     }
 
     /// Returns a check of whether the client still waits, for the code that sends attempts.
     pub fn client_presence(&self) -> ClientPresence {
-        ClientPresence(self.answer_sender.clone())
+        ClientPresence { answer_sender: self.answer_sender.clone(), connection: self.connection.clone() }
     }
 
     /// Waits until the client leaves. Never completes once the answer is given.
--- a/tests/player/mod.rs
+++ b/tests/player/mod.rs
@@ -333,6 +333,13 @@
         self.ended(true)
     }
 
+    /// Its anonymous memory in kB, by the system's word; 0 once it has ended.
+    pub fn memory_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"));
+        line.and_then(|line| line.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+    }
+
     /// Whether it has not ended yet.
     pub fn runs(&mut self) -> bool {
         self.child.try_wait().expect("a child").is_none()
