Hold all that clients make the process keep under one budget from memory_mb

Cause: memory was counted for bodies alone. Heads, the HTTP library's buffers and unread answers had bounds for one connection, and the number of connections came from descriptors.

Evidence: memory grows with the length of heads and of what is sent at once, none of it counted; unread answers take some 70 kB a stream.

Change: one budget (intake/budget.rs) that connections, heads, bodies, requests and answers reserve from; large holders leave a quarter to small ones. The library sees a head once it is whole, gets small reads and small parts of an answer; long events are forwarded in parts.

--- a/src/main.rs
+++ b/src/main.rs
@@ -239,7 +239,7 @@
     };
     spawn_local(become_ready(heard, given, policy_gate.clone(), caught_up, shutdown.clone()));
     spawn_local(follow_shutdown(core.planner.clone(), shutdown.clone(), clock));
-    let intake = Intake::new(config.intake, config.body_bytes, counters.clone());
+    let intake = Intake::new(config.intake, config.request_bytes, counters.clone());
     spawn_local(policy_gate.apply_connection_limits(intake.clone(), pool));
     let front = PlatformFront::new(core, config.names, intake.clone(), shutdown.clone());
     let partners = Partners::default();
@@ -310,7 +310,7 @@
     }
     core.planner.update_hosts(true, members);
     let (listen, tls) = (config.listen, config.tls.take());
-    let intake = Intake::new(config.intake, config.body_bytes, counters.clone());
+    let intake = Intake::new(config.intake, config.request_bytes, counters.clone());
     let front = ChatFront::new(core, Rc::new(config), intake.clone(), shutdown.clone(), seed);
     #[cfg(feature = "cluster")]
     let front = front.among(conductors);
--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -33,6 +33,8 @@
     evicted,
     /// Client connections that were closed to make room while a partly received request had stalled.
     evicted_begun,
+    /// Requests refused before their head was whole, because there was no memory for it.
+    heads_refused,
     /// Requests answered with a complete stream.
     served,
     /// Requests answered with a stream that broke after its first event.
--- a/src/node/front/chat.rs
+++ b/src/node/front/chat.rs
@@ -299,6 +299,7 @@
         if self.intake.full() {
             return Err(self.shed());
         }
+        let room = self.intake.room_for_answer().ok_or_else(|| self.shed())?;
         #[cfg(feature = "cluster")]
         let mut claimed = self.claim(&ask, request.headers().get(IDEMPOTENCY_KEY)).await?;
         ask.time_left -= arrived.elapsed().as_micros() as Micros;
@@ -311,7 +312,8 @@
         claimed.iter_mut().for_each(GrantedClaim::used);
         let (streamed, payload) = (!ask.is_unary, Payload { id: id.clone(), target, headers, body });
         let connection = self.intake.connection_of_request(&request);
-        let answer = begin(&self.core, &self.shutdown, ask, (payload, permit), connection, ()).await.answer;
+        let answer =
+            begin(&self.core, &self.shutdown, ask, (payload, permit), connection, room.clone()).await.answer;
         #[cfg(feature = "cluster")]
         if let Some(claim) = claimed {
             match &answer {
@@ -323,12 +325,12 @@
         }
         let mut reply = match answer {
             Answer::Events { form, stream: events } if streamed && form.is_event_stream() => {
-                let mut reply = Response::new(Either::Right(Pieces::new(events, id)));
+                let mut reply = Response::new(Either::Right(Pieces::new(events, id, room)));
                 form.content_type.map(|kind| reply.headers_mut().insert(CONTENT_TYPE, kind));
                 reply
             }
             // Nothing of a whole answer is shown before it is known to be whole.
-            Answer::Events { form, stream: events } => match Pieces::new(events, id).whole().await {
+            Answer::Events { form, stream: events } => match Pieces::new(events, id, room).whole().await {
                 Ok(text) => whole(form.status, form.content_type, text),
                 Err(_) => Fault::Failed.reply(),
             },
--- a/src/node/front/chat/tests.rs
+++ b/src/node/front/chat/tests.rs
@@ -23,7 +23,7 @@
     let pool = Rc::new(Pool::new(chat.pool.clone(), counters.clone()));
     let upstream = Rc::new(Upstream::new(pool, Protocol::Chat(HeaderMap::new()), counters.clone()));
     let core = Core { planner, upstream, counters: counters.clone(), policy_gate: PolicyGate::always_open() };
-    let intake = Intake::new(chat.intake, chat.body_bytes, counters);
+    let intake = Intake::new(chat.intake, chat.request_bytes, counters);
     let (handle, calls, updates) = handle_and_updates();
     // Held up, not ended.
     std::mem::forget((calls, updates));
--- a/src/node/front/intake/body.rs
+++ b/src/node/front/intake/body.rs
@@ -12,6 +12,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::Intake;
+use super::budget::Reservation;
 use super::connection::{Arrival, REQUEST_TIME};
 use crate::node::process::shutdown::Shutdown;
 
@@ -19,38 +20,11 @@
 pub const BODY_MOST: usize = 256 * 1024;
 /// How much of a body that is too large is read to keep the connection usable.
 const DISCARD_MOST: usize = 2 * 1024 * 1024;
-/// Of that, what a body gets at least.
+/// Room that a body gets at least, unless it is announced to be shorter.
+const BODY_CAPACITY_LEAST: usize = 4 * 1024;
+/// For a body to arrive at least, whenever its request began.
 const BODY_LEAST: Duration = Duration::from_millis(500);
 
-/// Bytes of a body that are held, given back when dropped.
-pub struct BodyPermit {
-    intake: Rc<Intake>,
-    bytes: usize,
-}
-
-impl BodyPermit {
-    fn new(intake: Rc<Intake>) -> Self {
-        BodyPermit { intake, bytes: 0 }
-    }
-
-    /// Room for so many bytes more, if there is any.
-    fn grow(&mut self, bytes: usize) -> bool {
-        let total = self.intake.bytes.get() + bytes;
-        let fits = total <= self.intake.most_bytes.get();
-        if fits {
-            self.intake.bytes.set(total);
-            self.bytes += bytes;
-        }
-        fits
-    }
-}
-
-impl Drop for BodyPermit {
-    fn drop(&mut self) {
-        self.intake.bytes.set(self.intake.bytes.get() - self.bytes);
-    }
-}
-
 /// Why a request's body was not taken.
 #[derive(Debug, thiserror::Error)]
 pub enum BodyError {
@@ -75,7 +49,7 @@
 /// can go on.
 pub async fn read_body(
     request: &mut Request<Incoming>, wanted: bool, intake: &Rc<Intake>, shutdown: &Shutdown,
-) -> Result<(Bytes, BodyPermit), BodyError> {
+) -> Result<(Bytes, Reservation), BodyError> {
     let now = Instant::now();
     let since = request.extensions().get::<Arrival>().map_or(now, |arrival| arrival.since);
     let until = (since + REQUEST_TIME).max(now + BODY_LEAST);
@@ -85,9 +59,10 @@
     if hint > DISCARD_MOST as u64 {
         return Err(BodyError::TooLarge);
     }
-    let mut permit = BodyPermit::new(intake.clone());
+    let mut room = intake.room();
     let read = async {
-        let (mut text, mut seen, mut kept) = (BytesMut::new(), 0, wanted);
+        // What is announced to be too large is never held.
+        let (mut text, mut seen, mut kept) = (BytesMut::new(), 0, wanted && hint <= BODY_MOST as u64);
         while let Some(frame) = body.frame().await {
             let Ok(data) = frame?.into_data() else { continue };
             seen += data.len();
@@ -95,25 +70,32 @@
                 return Err(BodyError::TooLarge);
             }
             // Room is taken for what has come, not for what was announced.
-            kept = kept && seen <= BODY_MOST && permit.grow(data.len());
+            kept = kept && seen <= BODY_MOST && room.grow_to(capacity_for(seen, hint as usize));
             if kept {
-                if text.is_empty() {
-                    text.reserve(hint.min(BODY_MOST as u64) as usize);
-                }
+                text.reserve(capacity_for(seen, hint as usize) - text.len());
                 text.extend_from_slice(&data);
+            } else if !text.is_empty() {
+                text = BytesMut::new();
+                room.clear();
             }
         }
         match (seen > BODY_MOST, kept || !wanted) {
             (true, _) => Err(BodyError::TooLarge),
-            (false, true) => Ok(text.freeze()),
+            (false, true) => Ok((text.freeze(), room)),
             (false, false) => Err(BodyError::NoRoom),
         }
     };
-    let text = tokio::select! {
+    let taken = tokio::select! {
         biased;
         read = timeout_at(until, read) => read.unwrap_or(Err(BodyError::Slow))?,
         () = shutdown.due(|schedule| schedule.answers_until) => return Err(BodyError::ProcessEnds),
     };
     arrived.inspect(|whole| whole.store(true, Ordering::Relaxed));
-    Ok((text, permit))
+    Ok(taken)
+}
+
+/// The room in which a body is kept of which so much has come: doubled as it grows, and no more than was announced.
+fn capacity_for(seen: usize, announced: usize) -> usize {
+    let grown = seen.next_power_of_two().max(BODY_CAPACITY_LEAST);
+    if announced >= seen { grown.min(announced) } else { grown.min(BODY_MOST) }
 }
--- a/src/node/front/intake/connection.rs
+++ b/src/node/front/intake/connection.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
 use hyper::Request;
@@ -12,12 +13,24 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout};
 
+use super::budget::{MemoryBudget, Reservation};
 use super::socket::Look;
 
 /// For a client to send a whole request: an error or a close is owed within 3 s.
 pub(super) const REQUEST_TIME: Duration = Duration::from_millis(2_600);
-/// Buffer of a client's connection; heads that are longer are refused.
-pub const BUFFER: usize = 32 * 1024;
+/// Longest head of a request.
+pub const MAX_HEAD_BYTES: usize = 32 * 1024;
+/// Head for which each connection has room of its own; usual heads are shorter. A connection closes behind a longer one, as
+/// the library's buffer for it stays as large.
+const USUAL_HEAD_BYTES: usize = 4 * 1024;
+/// A head is held twice once it is whole: by the library, and as the headers of its request.
+const COPIES_OF_HEAD: usize = 2;
+/// Memory of a request from the end of its head to that of its answer: the HTTP library's further buffers and its tasks.
+const REQUEST_BYTES: usize = 20 * 1024;
+/// The end of a head's last line, and the empty line; each `\r` may be missing.
+const LONGEST_END: &[u8] = b"\n\r\n";
+/// Of an answer that the library may hold until the client's socket takes it.
+const MAX_UNWRITTEN_BYTES: usize = 8 * 1024;
 /// For a connection that has said nothing before it may make room: its first bytes may be on their way.
 const SILENT_LEAST: Duration = Duration::from_millis(250);
 /// For one that has begun a request, since it last sent a part of it.
@@ -69,8 +82,18 @@
     pub(super) since: Cell<Instant>,
     /// When bytes last came.
     pub(super) heard: Cell<Instant>,
+    /// What has come of a head that is not whole.
     head: RefCell<Vec<u8>>,
+    /// Memory for a head beyond [`USUAL_HEAD_BYTES`].
+    head_room: RefCell<Reservation>,
+    /// Memory for the request whose head is whole.
+    request_room: RefCell<Reservation>,
+    /// There was no memory for a head.
+    is_head_refused: Cell<bool>,
+    head_refused: Notify,
+    /// The head is whole, and which of the headers that state a body's length it has.
     head_whole: Cell<bool>,
+    has_content_length: Cell<bool>,
     /// Bytes that came behind the head.
     pub(super) behind: Cell<u64>,
     /// Of them, how many the open request has.
@@ -86,17 +109,47 @@
     close_lookup: RefCell<Option<CloseLookup>>,
     /// Bytes that were read past behind the open request.
     read_past: Cell<u64>,
+    /// Bytes of an answer that the library holds.
+    unwritten: Cell<usize>,
+    /// Waits for the client's socket to take them.
+    writer: RefCell<Option<Waker>>,
+}
+
+/// There is no memory for more of a head. Nothing of its request was sent on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("no room for the head")]
+pub struct NoRoomForHead;
+
+/// Where a head ends among the bytes that came behind its beginning, if it does.
+fn end_of_head(head: &[u8], bytes: &[u8]) -> Option<usize> {
+    let begin = &head[head.len().saturating_sub(LONGEST_END.len() - 1)..];
+    let joined = [begin, bytes].concat();
+    let ends = |at: &usize| joined[*at..].starts_with(LONGEST_END) || joined[*at..].starts_with(b"\n\n");
+    let at = (0..joined.len()).find(ends)?;
+    let end = at + if joined[at + 1] == b'\n' { 2 } else { LONGEST_END.len() };
+    Some(end - begin.len())
+}
+
+/// Whether a head has a header of this name.
+fn has_header(head: &[u8], name: &str) -> bool {
+    let mut names = head.split(|&b| b == b'\n').filter_map(|line| line.split(|&b| b == b':').next());
+    names.any(|found| found.trim_ascii().eq_ignore_ascii_case(name.as_bytes()))
 }
 
 impl ConnectionState {
-    pub(super) fn new(number: u64) -> Rc<Self> {
+    pub(super) fn new(number: u64, budget: &Rc<MemoryBudget>) -> Rc<Self> {
         Rc::new(ConnectionState {
             number,
             stage: Cell::new(Stage::Silent),
             since: Cell::new(Instant::now()),
             heard: Cell::new(Instant::now()),
             head: RefCell::default(),
+            head_room: RefCell::new(Reservation::new(budget)),
+            request_room: RefCell::new(Reservation::new(budget)),
+            is_head_refused: Cell::new(false),
+            head_refused: Notify::new(),
             head_whole: Cell::new(false),
+            has_content_length: Cell::new(false),
             behind: Cell::new(0),
             body: Cell::new(0),
             unfit: Cell::new(0),
@@ -106,6 +159,8 @@
             has_closed: Cell::new(false),
             close_lookup: RefCell::default(),
             read_past: Cell::new(0),
+            unwritten: Cell::new(0),
+            writer: RefCell::default(),
         })
     }
 
@@ -146,38 +201,116 @@
         self.since.set(Instant::now());
     }
 
-    /// Bytes came. A head is kept as it came until its request is taken: the library shows only one of two
-    /// headers that contradict each other.
-    pub(super) fn came(&self, mut bytes: &[u8]) {
+    /// Returns whether what comes now belongs to a head. The head is kept here until it is whole; only then the library sees
+    /// it, all at once.
+    pub(super) fn is_reading_head(&self) -> bool {
+        !self.head_whole.get()
+    }
+
+    /// Bytes came behind a head.
+    pub(super) fn came_behind_head(&self, bytes: usize) {
+        self.heard.set(Instant::now());
+        self.behind.set(self.behind.get() + bytes as u64);
+    }
+
+    /// Bytes came while a head is read. Returns all that has come of it, and what came behind it, once it is whole or too
+    /// long to be one.
+    pub(super) fn came_of_head(&self, mut bytes: &[u8]) -> Result<Option<Vec<u8>>, NoRoomForHead> {
         self.heard.set(Instant::now());
-        if self.head_whole.get() {
-            return self.behind.set(self.behind.get() + bytes.len() as u64);
-        }
         let mut head = self.head.borrow_mut();
         if head.is_empty() {
             let begin = bytes.iter().position(|b| !matches!(b, b'\r' | b'\n')).unwrap_or(bytes.len());
             bytes = &bytes[begin..];
             if bytes.is_empty() {
-                return;
-            }
-            // A first request has had its time since the connection came up.
-            if self.stage.get() == Stage::Silent {
-                self.stage.set(Stage::Begun);
-            } else if matches!(self.stage.get(), Stage::Idle | Stage::Flushing) {
-                self.turn(Stage::Begun);
+                return Ok(None);
             }
+            self.head_begins();
         }
-        let from = head.len().saturating_sub(3);
+        let end = end_of_head(&head, bytes);
+        // What came behind the head goes to the library at once.
+        self.reserve_head(&mut head, end.unwrap_or(bytes.len()))?;
         head.extend_from_slice(bytes);
-        let ends = |at: &usize| head[*at..].starts_with(b"\n\r\n") || head[*at..].starts_with(b"\n\n");
-        if let Some(at) = (from..head.len()).find(ends) {
-            let end = at + if head[at + 1] == b'\n' { 2 } else { 3 };
+        if let Some(end) = end {
+            let end = head.len() - bytes.len() + end;
             self.behind.set((head.len() - end) as u64);
-            head.truncate(end);
-            self.head_whole.set(true);
-        } else if head.len() > 2 * BUFFER {
-            // The library has refused it by now.
-            self.head_whole.set(true);
+            self.has_content_length.set(has_header(&head[..end], CONTENT_LENGTH.as_str()));
+        } else if head.len() > MAX_HEAD_BYTES {
+            // The library refuses it. Nothing is known of what it says.
+            self.has_content_length.set(true);
+        } else {
+            return Ok(None);
+        }
+        if !self.request_room.borrow_mut().grow_in_any_case_to(REQUEST_BYTES) {
+            return Err(self.refuse_head(&mut head));
+        }
+        self.head_whole.set(true);
+        Ok(Some(std::mem::take(&mut *head)))
+    }
+
+    /// The first bytes of a head came.
+    fn head_begins(&self) {
+        // A first request has had its time since the connection came up.
+        if self.stage.get() == Stage::Silent {
+            self.stage.set(Stage::Begun);
+        } else if matches!(self.stage.get(), Stage::Idle | Stage::Flushing) {
+            self.turn(Stage::Begun);
+        }
+    }
+
+    /// Makes room for so many further bytes of a head.
+    fn reserve_head(&self, head: &mut Vec<u8>, further: usize) -> Result<(), NoRoomForHead> {
+        let capacity = (head.len() + further).next_power_of_two();
+        let beyond = (capacity * COPIES_OF_HEAD).saturating_sub(USUAL_HEAD_BYTES * COPIES_OF_HEAD);
+        if !self.head_room.borrow_mut().grow_to(beyond) {
+            return Err(self.refuse_head(head));
+        }
+        head.reserve_exact(capacity - head.len());
+        Ok(())
+    }
+
+    /// Notes that there is no memory for a head, and gives back what it had.
+    fn refuse_head(&self, head: &mut Vec<u8>) -> NoRoomForHead {
+        self.is_head_refused.set(true);
+        self.head_refused.notify_one();
+        *head = Vec::new();
+        self.head_room.borrow_mut().clear();
+        NoRoomForHead
+    }
+
+    /// Waits until a head is not taken because there is no memory for it.
+    pub async fn head_refused(&self) {
+        self.head_refused.notified().await;
+    }
+
+    /// Returns whether a head was not taken because there was no memory for it.
+    pub fn is_head_refused(&self) -> bool {
+        self.is_head_refused.get()
+    }
+
+    /// Returns whether this connection has had a head that was longer than usual ones.
+    fn had_long_head(&self) -> bool {
+        self.head_room.borrow().bytes() > 0
+    }
+
+    /// The library was given so many bytes of an answer to write.
+    pub(crate) fn answer_given(&self, bytes: usize) {
+        self.unwritten.set(self.unwritten.get() + bytes);
+    }
+
+    /// Waits until the library may be given more of an answer.
+    pub(crate) fn poll_answer_room(&self, cx: &mut Context<'_>) -> Poll<()> {
+        if self.unwritten.get() < MAX_UNWRITTEN_BYTES {
+            return Poll::Ready(());
+        }
+        self.writer.replace(Some(cx.waker().clone()));
+        Poll::Pending
+    }
+
+    /// So many bytes were written to the client, framing included.
+    pub(super) fn wrote(&self, bytes: usize) {
+        self.unwritten.set(self.unwritten.get().saturating_sub(bytes));
+        if self.unwritten.get() < MAX_UNWRITTEN_BYTES {
+            self.writer.take().into_iter().for_each(Waker::wake);
         }
     }
 
@@ -234,13 +367,9 @@
         self.turn(Stage::Open);
         self.body.set(if let Framed::Length(length) = Framed::of(request) { length } else { 0 });
         self.head_taken.notify_waiters();
-        let head = self.head.take();
-        let has = |name: &str| {
-            let mut names = head.split(|&b| b == b'\n').filter_map(|l| l.split(|&b| b == b':').next());
-            names.any(|n| n.trim_ascii().eq_ignore_ascii_case(name.as_bytes()))
-        };
+        // The library shows only one of two headers that contradict each other.
         let chunked = request.headers().contains_key(TRANSFER_ENCODING);
-        let unsure = !self.head_whole.get() || has(CONTENT_LENGTH.as_str());
+        let unsure = !self.head_whole.get() || self.has_content_length.get();
         let whole = Arc::<AtomicBool>::default();
         self.whole.replace(Some(whole.clone()));
         self.read_past.set(0);
@@ -260,7 +389,8 @@
         self.whole.take();
         self.head_whole.set(false);
         self.body.set(0);
-        framed == Framed::Length(self.behind.replace(0)) && self.unfit.get() < UNFIT_MOST
+        let is_exact = framed == Framed::Length(self.behind.replace(0));
+        is_exact && self.unfit.get() < UNFIT_MOST && !self.had_long_head()
     }
 
     /// Its answer is complete; it is idle once that is written.
@@ -272,7 +402,9 @@
 
     /// All that there was to write is with the system.
     pub(super) fn flushed(&self) {
+        self.wrote(self.unwritten.get());
         if self.stage.get() == Stage::Flushing {
+            self.request_room.borrow_mut().clear();
             self.turn(Stage::Idle);
         }
     }
@@ -309,3 +441,6 @@
         Framed::Length(length.unwrap_or(0))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/node/front/intake/mod.rs
+++ b/src/node/front/intake/mod.rs
@@ -1,9 +1,11 @@
-//! Room for what clients bring: connections, and bytes of bodies. Who brings nothing makes room for who does.
+//! Room for what clients bring: connections, and the memory of their requests and answers. Who brings nothing makes room for who
+//! does.
 //!
-//! [`connection`] is where one connection stands, [`socket`] tells whether its client has closed it, [`stream`] watches its bytes,
+//! [`budget`] counts the memory, [`connection`] is where one connection stands, [`socket`] tells whether its client has closed it, [`stream`] watches its bytes,
 //! [`body`] reads a request's body.
 
 pub mod body;
+pub mod budget;
 pub mod connection;
 pub mod socket;
 pub mod stream;
@@ -13,6 +15,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use budget::{MemoryBudget, Reservation};
 use connection::{Arrival, ConnectionState, Stage};
 use hyper::Request;
 use tokio::sync::Notify;
@@ -28,6 +31,13 @@
 /// Between looks for a connection that may make room, while none may.
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
 
+/// Reserved for the answer of each open request: what the buffers between its instance and its client hold, and the
+/// connection to the instance.
+const ANSWER_BYTES: usize = 24 * 1024;
+
+/// Memory that is reserved for a request's answer: the request has it until it ends, and the answer until it is written.
+pub type AnswerRoom = Rc<RefCell<Reservation>>;
+
 /// A limit's part while two processes of this conductor live.
 pub fn shared(whole: usize) -> usize {
     (whole * SHARE / 100).max(1)
@@ -39,8 +49,7 @@
     next: Cell<u64>,
     most: Cell<usize>,
     left: Notify,
-    bytes: Cell<usize>,
-    most_bytes: Cell<usize>,
+    memory: Rc<MemoryBudget>,
     /// Of connections and bytes, while no other process has a part.
     whole: (usize, usize),
     /// A newer process of this conductor has the same listening socket.
@@ -56,6 +65,13 @@
     pub state: Rc<ConnectionState>,
 }
 
+impl Place {
+    /// Counts a head that was not taken for want of memory.
+    pub fn count_refused_head(&self) {
+        add(&self.intake.counters.heads_refused);
+    }
+}
+
 impl Drop for Place {
     fn drop(&mut self) {
         self.intake.connections.borrow_mut().remove(&self.number);
@@ -64,18 +80,15 @@
 }
 
 impl Intake {
-    /// Room for so many connections and so many bytes of bodies.
+    /// Room for so many connections and so many bytes of heads, bodies and answers.
     pub fn new(most: usize, most_bytes: usize, counters: Rc<Counters>) -> Rc<Self> {
-        let (next, bytes) = (Cell::new(0), Cell::new(0));
         let (left, whole) = (Notify::new(), (most, most_bytes));
-        let (most, most_bytes) = (Cell::new(most), Cell::new(most_bytes));
         Rc::new(Intake {
             connections: RefCell::default(),
-            next,
-            most,
+            next: Cell::new(0),
+            most: Cell::new(most),
             left,
-            bytes,
-            most_bytes,
+            memory: MemoryBudget::new(most_bytes),
             whole,
             has_successor: Cell::new(false),
             counters,
@@ -86,7 +99,7 @@
     pub fn share(&self, part: bool) {
         let of = |whole| if part { shared(whole) } else { whole };
         self.most.set(of(self.whole.0));
-        self.most_bytes.set(of(self.whole.1));
+        self.memory.set_limit(of(self.whole.1));
         let over = self.connections.borrow().len().saturating_sub(self.most.get());
         (0..over).for_each(|_| self.make_room());
     }
@@ -120,7 +133,7 @@
     /// Takes a connection in. Past the limit another one makes room, if it has no request open.
     pub fn enter(self: &Rc<Self>) -> Place {
         let number = self.next.get();
-        let connection = ConnectionState::new(number);
+        let connection = ConnectionState::new(number, &self.memory);
         self.next.set(number + 1);
         if self.connections.borrow().len() >= self.most.get() {
             self.make_room();
@@ -129,6 +142,17 @@
         Place { intake: self.clone(), number, state: connection }
     }
 
+    /// Returns a reservation of no memory yet.
+    pub fn room(&self) -> Reservation {
+        Reservation::new(&self.memory)
+    }
+
+    /// Reserves memory for the answer to one request; `None` if there is none left.
+    pub fn room_for_answer(&self) -> Option<AnswerRoom> {
+        let mut room = self.room();
+        room.grow_in_any_case_to(ANSWER_BYTES).then(|| Rc::new(RefCell::new(room)))
+    }
+
     /// Returns the connection on which a request arrived, while it is there.
     pub fn connection_of_request<B>(&self, request: &Request<B>) -> Option<Rc<ConnectionState>> {
         let arrival = request.extensions().get::<Arrival>()?;
--- a/src/node/front/intake/stream.rs
+++ b/src/node/front/intake/stream.rs
@@ -2,7 +2,7 @@
 
 use std::cell::RefCell;
 use std::future::poll_fn;
-use std::io;
+use std::io::{self, Cursor};
 use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -12,7 +12,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::time::{Instant, sleep, timeout};
 
-use super::connection::{ConnectionState, Stage};
+use super::connection::{ConnectionState, NoRoomForHead, Stage};
 use super::socket::{ClientSocket, Look};
 use crate::node::process::shutdown::Shutdown;
 
@@ -25,6 +25,8 @@
 const REFUSAL: &[u8] = b"HTTP/1.1 429 Too Many Requests\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
 /// Between reads of what nobody wants, so that it does not use up the core.
 const LINGER_PAUSE: Duration = Duration::from_millis(1);
+/// Given to the HTTP library by one read: less than its first buffer, which it doubles where a read fills it.
+const MAX_READ_BYTES: usize = 8 * 1024 - 1;
 /// Read by one call of what nobody wants.
 const SCRATCH: usize = 32 * 1024;
 /// The most that the buffers of both ends of a connection hold: what a client may have sent before it closed. The usual
@@ -38,6 +40,8 @@
 pub struct Stream<I> {
     io: Rc<RefCell<I>>,
     connection: Rc<ConnectionState>,
+    /// A whole head and what came behind it, until the library has taken it.
+    taken: Cursor<Vec<u8>>,
 }
 
 impl<I: ClientSocket + 'static> Stream<I> {
@@ -50,14 +54,14 @@
             Some(io) => io.borrow().look_for_close(MAX_BUFFERED_BYTES),
             None => Look { bytes: 0, has_closed: true },
         });
-        Stream { io, connection }
+        Stream { io, connection, taken: Cursor::default() }
     }
 }
 
 impl<I: AsyncRead + AsyncWrite + Unpin> Stream<I> {
     /// A second handle.
     pub fn handle(&self) -> Self {
-        Stream { io: self.io.clone(), connection: self.connection.clone() }
+        Stream { io: self.io.clone(), connection: self.connection.clone(), taken: Cursor::default() }
     }
 
     /// Waits until the client has closed the connection while its request waits for the answer. The library does not look for
@@ -120,24 +124,78 @@
     }
 }
 
+impl<I: AsyncRead + Unpin> Stream<I> {
+    /// Reads until a head is whole; returns `false` at the end of the connection.
+    fn poll_head(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<bool>> {
+        loop {
+            let mut scratch = [MaybeUninit::uninit(); MAX_READ_BYTES];
+            let mut buffer = ReadBuf::uninit(&mut scratch);
+            ready!(Pin::new(&mut *self.io.borrow_mut()).poll_read(cx, &mut buffer))?;
+            if buffer.filled().is_empty() {
+                return Poll::Ready(Ok(false));
+            }
+            match self.connection.came_of_head(buffer.filled()) {
+                Ok(None) => {}
+                Ok(Some(head)) => {
+                    self.taken = Cursor::new(head);
+                    return Poll::Ready(Ok(true));
+                }
+                // The connection's task has been told.
+                Err(NoRoomForHead) => return Poll::Pending,
+            }
+        }
+    }
+
+    /// Gives the library the next part of what was taken.
+    fn give_taken(&mut self, buf: &mut ReadBuf<'_>) {
+        let from = self.taken.position() as usize;
+        let part = buf.remaining().min(MAX_READ_BYTES).min(self.taken.get_ref().len() - from);
+        buf.put_slice(&self.taken.get_ref()[from..from + part]);
+        self.taken.set_position((from + part) as u64);
+        if from + part == self.taken.get_ref().len() {
+            self.taken = Cursor::default();
+        }
+    }
+}
+
 impl<I: AsyncRead + Unpin> AsyncRead for Stream<I> {
+    /// Gives the library a head only once it is whole, and bodies in small parts, so that it holds little for a client that
+    /// stops half way.
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        ready!(Pin::new(&mut *self.io.borrow_mut()).poll_read(cx, buf))?;
-        self.connection.came(&buf.filled()[before..]);
+        let stream = self.get_mut();
+        if stream.taken.get_ref().is_empty()
+            && stream.connection.is_reading_head()
+            && !ready!(stream.poll_head(cx))?
+        {
+            return Poll::Ready(Ok(()));
+        }
+        if !stream.taken.get_ref().is_empty() {
+            stream.give_taken(buf);
+            return Poll::Ready(Ok(()));
+        }
+        let mut scratch = [MaybeUninit::uninit(); MAX_READ_BYTES];
+        let most = buf.remaining().min(MAX_READ_BYTES);
+        let mut part = ReadBuf::uninit(&mut scratch[..most]);
+        ready!(Pin::new(&mut *stream.io.borrow_mut()).poll_read(cx, &mut part))?;
+        stream.connection.came_behind_head(part.filled().len());
+        buf.put_slice(part.filled());
         Poll::Ready(Ok(()))
     }
 }
 
 impl<I: AsyncWrite + Unpin> AsyncWrite for Stream<I> {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.io.borrow_mut()).poll_write(cx, data)
+        let written = ready!(Pin::new(&mut *self.io.borrow_mut()).poll_write(cx, data))?;
+        self.connection.wrote(written);
+        Poll::Ready(Ok(written))
     }
 
     fn poll_write_vectored(
         self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.io.borrow_mut()).poll_write_vectored(cx, data)
+        let written = ready!(Pin::new(&mut *self.io.borrow_mut()).poll_write_vectored(cx, data))?;
+        self.connection.wrote(written);
+        Poll::Ready(Ok(written))
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/node/front/mod.rs
+++ b/src/node/front/mod.rs
@@ -39,17 +39,19 @@
 use crate::node::upstream::attempt::Payload;
 use crate::node::upstream::events::StreamError;
 use accept::Acceptor;
-use intake::body::BodyPermit;
-use intake::connection::{BUFFER, ConnectionState, Framed};
+use intake::budget::Reservation;
+use intake::connection::{ConnectionState, Framed, MAX_HEAD_BYTES};
 use intake::socket::ClientSocket;
 use intake::stream::Stream;
-use intake::{Intake, Place};
+use intake::{AnswerRoom, Intake, Place};
 use spiffe::{Identities, Peer};
 
 /// For a client to send a head, or to stay idle between requests. After 2 s a connection without an open request may
 /// be closed, and one that says nothing is owed a close within 3 s.
 const HEAD_TIME: Duration = Duration::from_millis(2_100);
 
+/// Most that the HTTP library holds of a request's head and what came with its end.
+const LIBRARY_BUFFER_BYTES: usize = MAX_HEAD_BYTES + 8 * 1024;
 /// Largest answer that is kept back until it is whole.
 const WHOLE_MOST: usize = 4 * 1024 * 1024;
 
@@ -61,12 +63,13 @@
     stream: StreamReceiver,
     request: Rc<str>,
     state: Option<Rc<ConnectionState>>,
+    room: AnswerRoom,
 }
 
 impl Pieces {
-    /// The body for the stream of the request with this id.
-    pub fn new(stream: StreamReceiver, request: Rc<str>) -> Self {
-        Pieces { stream, request, state: None }
+    /// The body for the stream of the request with this id, and the memory that is reserved for it.
+    pub fn new(stream: StreamReceiver, request: Rc<str>, room: AnswerRoom) -> Self {
+        Pieces { stream, request, state: None, room }
     }
 
     /// The whole of it in one piece; one that goes on and on is spoilt.
@@ -74,7 +77,7 @@
         let mut text = BytesMut::new();
         while let Some(piece) = self.stream.next().await {
             text.extend_from_slice(&piece?);
-            if text.len() > WHOLE_MOST {
+            if text.len() > WHOLE_MOST || !self.room.borrow_mut().grow_to(text.capacity()) {
                 return Err(StreamError::Malformed);
             }
         }
@@ -95,9 +98,12 @@
     fn poll_frame(
         mut self: Pin<&mut Self>, cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, StreamError>>> {
+        if let Some(state) = &self.state {
+            ready!(state.poll_answer_room(cx));
+        }
         let piece = ready!(self.stream.poll_next(cx));
         match &piece {
-            Some(Ok(_)) => {}
+            Some(Ok(piece)) => self.state.iter().for_each(|state| state.answer_given(piece.len())),
             Some(Err(error)) => tracing::debug!(request = %self.request, %error, "answer: cut off"),
             None => tracing::debug!(request = %self.request, "answer: ended with its last chunk"),
         }
@@ -110,7 +116,7 @@
 /// of its own: a front's future is dropped when the client leaves, and the request still has to be withdrawn and let go of. In a
 /// shutdown a request that comes too late is refused and nothing is sent for it.
 pub async fn begin<K: 'static>(
-    core: &Core, shutdown: &Shutdown, ask: NewRequest, payload: (Payload, BodyPermit),
+    core: &Core, shutdown: &Shutdown, ask: NewRequest, payload: (Payload, Reservation),
     connection: Option<Rc<ConnectionState>>, keep: K,
 ) -> FinalAnswer {
     if !shutdown.takes(&ask) {
@@ -209,7 +215,7 @@
     let served = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIME)
-        .max_buf_size(BUFFER)
+        .max_buf_size(LIBRARY_BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), TowerToHyperService::new(service));
     // Its own box: what is left of the connection is let go of before the last bytes are read past.
     let mut served = Box::pin(served);
@@ -237,6 +243,7 @@
             // First: a request that crosses this must not be begun and then dropped.
             () = place.state.made_room(), if !ends => break Err("it makes room for others".to_owned()),
             ended = &mut served => break ended.map_err(|fault| fault.to_string()),
+            () = state.head_refused() => break Err("no room for its head".to_owned()),
             () = &mut gone => break Err("the client has gone".to_owned()),
             () = &mut out_of_time => break Err("the process ends".to_owned()),
             () = &mut ending, if !ends => {
@@ -249,7 +256,10 @@
         tracing::debug!("intake: connection ended: {fault}");
     }
     drop(served);
-    if shutdown.readiness().ending() && state.has_begun() {
+    if state.is_head_refused() {
+        place.count_refused_head();
+    }
+    if state.is_head_refused() || shutdown.readiness().ending() && state.has_begun() {
         last.refuse().await;
     }
     // The process does not end over bytes that are unread: what was written last would go with the reset.
--- a/src/node/front/platform.rs
+++ b/src/node/front/platform.rs
@@ -195,6 +195,7 @@
         if self.intake.full() {
             return Ok(self.shed());
         }
+        let Some(room) = self.intake.room_for_answer() else { return Ok(self.shed()) };
         let open = OpenId::take(&self.ids, &id).ok_or_else(|| Malformed::Duplicate(id.to_string()))?;
         let on_the_way = ON_THE_WAY.min(ask.time_left / ON_THE_WAY_PART);
         ask.time_left -= arrived.elapsed().as_micros() as Micros + on_the_way;
@@ -203,9 +204,11 @@
             Payload { id: id.clone(), target, headers: end_to_end_headers(request.headers()), body };
         let connection = self.intake.connection_of_request(&request);
         let FinalAnswer { answer, revision } =
-            begin(&self.core, &self.shutdown, ask, (payload, permit), connection, open).await;
+            begin(&self.core, &self.shutdown, ask, (payload, permit), connection, (open, room.clone())).await;
         let mut reply = match answer {
-            Answer::Events { form, stream: events } => stream(form.content_type, Pieces::new(events, id)),
+            Answer::Events { form, stream: events } => {
+                stream(form.content_type, Pieces::new(events, id, room))
+            }
             Answer::Refused { retry_after } => refusal(retry_after),
             Answer::Failed => plain(StatusCode::BAD_GATEWAY, "the request failed and may have run\n"),
         };
--- a/src/node/front/tests.rs
+++ b/src/node/front/tests.rs
@@ -1,6 +1,11 @@
 use super::*;
 use crate::node::answer_stream::answer_stream;
 
+/// Memory for one answer, of so many bytes in all.
+fn room(bytes: usize) -> AnswerRoom {
+    Intake::new(1, bytes, Rc::default()).room_for_answer().expect("room for an answer")
+}
+
 /// An answer that is kept back until it is whole is bounded: one that goes on and on is spoilt.
 #[tokio::test]
 async fn an_answer_without_end_is_not_collected() {
@@ -16,7 +21,7 @@
             }
             sender.finish(Ok(()));
         });
-        Pieces::new(receiver, "0a".into()).whole()
+        Pieces::new(receiver, "0a".into(), room(4 * WHOLE_MOST)).whole()
     };
     let most = WHOLE_MOST / piece.len();
     assert_eq!(whole(most).await.map(|text| text.len()), Ok(WHOLE_MOST));
@@ -28,7 +33,7 @@
 async fn an_answer_in_one_piece_that_is_cut_off_is_not_shown() {
     let cut_off = |is_told: bool| {
         let (sender, receiver) = answer_stream(1);
-        let body = Pieces::new(receiver, "0a".into());
+        let body = Pieces::new(receiver, "0a".into(), room(4 * WHOLE_MOST));
         tokio::spawn(async move {
             sender.send(Bytes::from_static(b"{\"choices\":[")).await.expect("the front is there");
             if is_told {
--- a/src/node/process/config.rs
+++ b/src/node/process/config.rs
@@ -51,8 +51,8 @@
     pub pool: PoolLimits,
     /// Most connections taken from clients at once.
     pub intake: usize,
-    /// Most bytes of request bodies held at once.
-    pub body_bytes: usize,
+    /// Most bytes of heads, bodies and answers held at once.
+    pub request_bytes: usize,
 }
 
 #[derive(Deserialize)]
@@ -102,6 +102,33 @@
 /// Of a limit too small for that, the part that is not clients' or instances', as one in so many.
 const OWN_PART: usize = 2;
 
+/// Of the memory limit, in hundredths, what clients may make the process hold. The rest is for the program itself, what the
+/// allocator keeps, and a margin: memory over half of the limit is meant to be rare.
+const CLIENTS_MEMORY_PERCENT: usize = 50;
+/// Of that, what connections may take before a byte of a request has come, in hundredths.
+const CONNECTIONS_MEMORY_PERCENT: usize = 60;
+/// Memory of one client's connection without a request: its task, the HTTP library's buffers and a usual head that is not whole.
+const CONNECTION_BYTES: usize = 14 * 1024;
+/// Most bytes of heads, bodies and answers that the chat front holds.
+const CHAT_REQUEST_BYTES: usize = 32 * 1024 * 1024;
+
+/// How the memory that clients may take is divided.
+struct ClientMemory {
+    connections: usize,
+    request_bytes: usize,
+}
+
+impl ClientMemory {
+    /// Divides it for a limit on memory and on descriptors of clients' connections.
+    fn of(memory_mb: usize, descriptors: usize) -> Self {
+        let bytes = memory_mb.min(4_096) * 1024 * 1024 / 100 * CLIENTS_MEMORY_PERCENT;
+        let affordable = bytes / 100 * CONNECTIONS_MEMORY_PERCENT / CONNECTION_BYTES;
+        let connections = descriptors.min(affordable.max(8));
+        let request_bytes = bytes.saturating_sub(connections * CONNECTION_BYTES);
+        ClientMemory { connections, request_bytes }
+    }
+}
+
 /// Descriptors that the system lets this process have; as many as may be where it does not say.
 fn system_limit() -> usize {
     let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
@@ -164,6 +191,7 @@
         // Clients and instances get most of the descriptors; the rest is for clients who are only turned away.
         let sockets = file.limits.sockets.min(16_384).min(system_limit());
         let sockets = sockets - OWN_SOCKETS.min(sockets / OWN_PART);
+        let memory = ClientMemory::of(file.limits.memory_mb, percent(sockets, 48));
         Ok(Platform {
             name: file.name,
             listen: file.listen,
@@ -179,8 +207,8 @@
                 max_idle_time: millis(node.limits.idle_close * 0.5, 1.0),
                 max_connections: percent(sockets, 44),
             },
-            intake: percent(sockets, 48),
-            body_bytes: percent(file.limits.memory_mb.min(4_096) * 1024 * 1024, 30),
+            intake: memory.connections,
+            request_bytes: memory.request_bytes,
         })
     }
 }
@@ -203,8 +231,8 @@
     pub pool: PoolLimits,
     /// Most connections taken from clients at once.
     pub intake: usize,
-    /// Most bytes of request bodies held at once.
-    pub body_bytes: usize,
+    /// Most bytes of heads, bodies and answers held at once.
+    pub request_bytes: usize,
     /// Identities, where clients must prove theirs.
     pub tls: Option<Identities>,
 }
@@ -363,7 +391,7 @@
                 max_connections: file.server_connections.clamp(1, 4_096),
             },
             intake: file.client_connections.clamp(1, 4_096),
-            body_bytes: 32 * 1024 * 1024,
+            request_bytes: CHAT_REQUEST_BYTES,
             tls: file.tls.map(|tls| Identities::read(tls, base)).transpose().map_err(|e| e.to_string())?,
         })
     }
--- a/src/node/upstream/events.rs
+++ b/src/node/upstream/events.rs
@@ -39,6 +39,9 @@
 const MAX_TIMER_DELAY: Duration = Duration::from_millis(200);
 /// Largest event; longer data without an end is not an event.
 const MAX_EVENT_BYTES: usize = 64 * 1024;
+/// Most of an event that is held until its end arrives. Longer events are forwarded in parts, so that a stream needs little
+/// memory however large its events are.
+const MAX_HELD_EVENT_BYTES: usize = 8 * 1024;
 
 /// Status and content type of an instance's answer, which the front passes on to the client.
 #[derive(Clone, Debug)]
@@ -212,8 +215,10 @@
 #[derive(Default)]
 struct Framer {
     is_chat: bool,
-    /// Start of an event whose end has not arrived.
+    /// Start of an event whose end has not arrived, without the part that was forwarded.
     incomplete: BytesMut,
+    /// Bytes of that event that were forwarded already.
+    forwarded_bytes: usize,
     /// Whether the event that marks the end of a chat stream has arrived.
     is_done: bool,
     /// Whether an event has reported an error.
@@ -226,22 +231,44 @@
 }
 
 impl Framer {
-    /// Adds bytes and returns all events that are complete now; the result is empty if none is.
+    /// Adds bytes and returns all events that are complete now, or a part of an event that is too long to be held; the result
+    /// is empty if there is neither.
     fn push(&mut self, bytes: Bytes) -> Result<Bytes, MalformedEvents> {
         if self.incomplete.is_empty() && whole_events_len(&bytes) == bytes.len() {
             self.check(&bytes)?;
+            self.forwarded_bytes = 0;
             return Ok(bytes);
         }
         self.incomplete.extend_from_slice(&bytes);
-        let whole_events = self.incomplete.split_to(whole_events_len(&self.incomplete)).freeze();
-        self.check(&whole_events)?;
+        let mut forwarded = self.incomplete.split_to(whole_events_len(&self.incomplete));
+        self.check(&forwarded)?;
+        if !forwarded.is_empty() {
+            self.forwarded_bytes = 0;
+        }
+        let part = self.incomplete.split_to(self.part_len()?);
+        self.forwarded_bytes += part.len();
+        forwarded.unsplit(part);
+        Ok(forwarded.freeze())
+    }
+
+    /// Checks the event that is not complete, and returns how much of it is forwarded because it is too long to be held. The
+    /// last line ends stay: they may begin the empty line that ends the event.
+    fn part_len(&self) -> Result<usize, MalformedEvents> {
+        let event = &self.incomplete[..];
         // Binary data is rejected at once rather than after it has reached the size limit of an event.
-        let is_text =
-            std::str::from_utf8(&self.incomplete).map_or_else(|error| error.error_len().is_none(), |_| true);
-        if !is_text || self.incomplete.iter().any(is_control) || self.incomplete.len() > MAX_EVENT_BYTES {
+        let text_len = match std::str::from_utf8(event) {
+            Ok(text) => text.len(),
+            Err(error) if error.error_len().is_none() => error.valid_up_to(),
+            Err(_) => return Err(MalformedEvents),
+        };
+        if event.iter().any(is_control) || self.forwarded_bytes + event.len() > MAX_EVENT_BYTES {
             return Err(MalformedEvents);
         }
-        Ok(whole_events)
+        if self.is_chat || event.len() <= MAX_HELD_EVENT_BYTES {
+            return Ok(0);
+        }
+        let line_ends = event[..text_len].iter().rev().take_while(|byte| b"\r\n".contains(byte)).count();
+        Ok(text_len - line_ends)
     }
 
     /// Checks that whole events are text, and looks for the end mark and errors of a chat stream.
@@ -290,3 +317,6 @@
 fn is_control(byte: &u8) -> bool {
     byte.is_ascii_control() && !matches!(byte, b'\n' | b'\r' | b'\t')
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/node/upstream/events/tests.rs
@@ -0,0 +1,41 @@
+use proptest::prelude::*;
+
+use super::*;
+
+/// Feeds a stream in pieces of these lengths, over and over. Returns all that was forwarded, and the most that was held.
+fn forward(text: &[u8], lengths: &[usize]) -> Result<(Vec<u8>, usize), MalformedEvents> {
+    let (mut framer, mut forwarded, mut most_held) = (Framer::default(), Vec::new(), 0);
+    let mut rest = text;
+    for length in lengths.iter().cycle() {
+        if rest.is_empty() {
+            break;
+        }
+        let (piece, further) = rest.split_at((*length).min(rest.len()));
+        forwarded.extend_from_slice(&framer.push(Bytes::copy_from_slice(piece))?);
+        most_held = most_held.max(framer.incomplete.len());
+        rest = further;
+    }
+    forwarded.extend_from_slice(&framer.take_rest());
+    Ok((forwarded, most_held))
+}
+
+proptest! {
+    /// Guards against long events being held whole, and against bytes that are lost or moved where an event is forwarded in parts.
+    #[test]
+    fn events_pass_unchanged_and_little_of_them_is_held(
+        events in prop::collection::vec(("[a-zé\r\n]{0,4}", 0_usize..30_000), 1..4), lengths in prop::collection::vec(1_usize..9_000, 1..5),
+    ) {
+        let text: String = events.iter().map(|(start, length)| format!("data: {start}{}\n\n", "é".repeat(length / 2))).collect();
+        let (forwarded, most_held) = forward(text.as_bytes(), &lengths).expect("events");
+        prop_assert_eq!(forwarded.as_slice(), text.as_bytes());
+        prop_assert!(most_held <= MAX_HELD_EVENT_BYTES + 8, "{}", most_held);
+    }
+}
+
+/// What was forwarded of an event counts towards its size.
+#[test]
+fn data_without_an_end_is_no_event_however_it_is_forwarded() {
+    let endless = |length| forward("data: ".repeat(length / 6).as_bytes(), &[8_000]).is_err();
+    assert!(!endless(MAX_EVENT_BYTES - 8_000));
+    assert!(endless(MAX_EVENT_BYTES + 8_000));
+}
--- a/src/node/upstream/relay.rs
+++ b/src/node/upstream/relay.rs
@@ -4,8 +4,8 @@
 use crate::node::answer_stream::{StreamEnd, StreamSender};
 
 /// Most chunks of a stream that wait for a slow client. While as many wait, the instance's connection is not
-/// read.
-pub const MAX_WAITING_CHUNKS: usize = 4;
+/// read. Each is at most as large as one read, or as what is held of an event.
+pub const MAX_WAITING_CHUNKS: usize = 1;
 
 /// How the forwarding of a stream ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/node/upstream/socket.rs
+++ b/src/node/upstream/socket.rs
@@ -4,9 +4,10 @@
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::io;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
@@ -17,6 +18,9 @@
 use crate::node::request::ClientPresence;
 use crate::node::uninterrupted::RetryInterrupted;
 
+/// Most bytes that one read gives to hyper: less than its first buffer, which it doubles where a read fills it.
+const MAX_READ_BYTES: usize = 8 * 1024 - 1;
+
 /// How far a request has been written.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum WriteProgress {
@@ -183,7 +187,12 @@
     fn poll_read(
         mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_read(cx, buf)
+        let mut scratch = [MaybeUninit::uninit(); MAX_READ_BYTES];
+        let most = buf.remaining().min(MAX_READ_BYTES);
+        let mut part = ReadBuf::uninit(&mut scratch[..most]);
+        ready!(Pin::new(&mut self.socket).poll_read(cx, &mut part))?;
+        buf.put_slice(part.filled());
+        Poll::Ready(Ok(()))
     }
 }
 
--- a/tests/clients/stand_ins.rs
+++ b/tests/clients/stand_ins.rs
@@ -26,7 +26,7 @@
     pub reading: Duration,
     /// From the call's last byte to the first event.
     pub first_event: Duration,
-    /// Events of a stream, without the last one.
+    /// Events of a stream, without the last one; a usual request's has one short event.
     pub events: usize,
     pub event_bytes: usize,
     pub between_events: Duration,
@@ -270,7 +270,8 @@
             std::thread::sleep(manner.reading);
             write!(socket, "HTTP/1.1 202 OK\r\nContent-Length: 19\r\n\r\n{{\"cached_tokens\":10}}").ok()?;
         } else {
-            write_stream(&mut socket, manner).ok()?;
+            let usual = Manner { events: 1, event_bytes: 60, ..manner };
+            write_stream(&mut socket, if id.starts_with("usual") { usual } else { manner }).ok()?;
         }
     }
     Some(())
