Remember the ids of unsafe requests that may have run apart from all others

Callers saw: the id of a route-save that had run, its client gone, runs a second time when it comes again behind 9,600 other requests, whether these ran or were refused.

Cause: the front kept the last 8,192 ids whatever became of their requests, so refused ones push out the id of one that has run, within a second.

Change: request_ids/table.rs keeps ids that may have run and must not run twice apart; only further such requests push them out, after 300 s at the soonest, and are refused until then. A request's task tells whether an instance may have begun its answer. Size from memory_mb.

--- a/src/main.rs
+++ b/src/main.rs
@@ -35,6 +35,7 @@
 use croftsill::node::process::shutdown::{EndSignals, Shutdown};
 use croftsill::node::process::start::{Given, become_ready};
 use croftsill::node::process::succession::{self, Estate, Inherited, Link, Partners};
+use croftsill::node::request_ids::RequestIds;
 #[cfg(feature = "cluster")]
 use croftsill::node::shared::SharedState;
 use croftsill::node::upstream::attempt::{Protocol, Upstream};
@@ -241,7 +242,14 @@
     spawn_local(follow_shutdown(core.planner.clone(), shutdown.clone(), clock));
     let intake = Intake::new(config.intake, config.request_bytes, counters.clone());
     spawn_local(policy_gate.apply_connection_limits(intake.clone(), pool));
-    let front = PlatformFront::new(core, config.names, intake.clone(), shutdown.clone());
+    let ids = RequestIds::new(config.id_bytes, clock);
+    let front = PlatformFront::new(
+        core,
+        (config.names, &config.settings),
+        intake.clone(),
+        shutdown.clone(),
+        ids.clone(),
+    );
     let partners = Partners::default();
     if let Some(place) = config.operator {
         let listener = TcpListener::bind(place).await.map_err(|fault| StartError::Listen(place, fault))?;
--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -35,6 +35,8 @@
     evicted_begun,
     /// Requests refused before their head was whole, because there was no memory for it.
     heads_refused,
+    /// Requests refused because their ids could not be remembered for long enough.
+    ids_full,
     /// Requests answered with a complete stream.
     served,
     /// Requests answered with a stream that broke after its first event.
--- a/src/node/front/chat.rs
+++ b/src/node/front/chat.rs
@@ -312,8 +312,10 @@
         claimed.iter_mut().for_each(GrantedClaim::used);
         let (streamed, payload) = (!ask.is_unary, Payload { id: id.clone(), target, headers, body });
         let connection = self.intake.connection_of_request(&request);
+        let kept = room.clone();
+        let on_end = move |_| drop(kept);
         let answer =
-            begin(&self.core, &self.shutdown, ask, (payload, permit), connection, room.clone()).await.answer;
+            begin(&self.core, &self.shutdown, ask, (payload, permit), connection, on_end).await.answer;
         #[cfg(feature = "cluster")]
         if let Some(claim) = claimed {
             match &answer {
--- a/src/node/front/mod.rs
+++ b/src/node/front/mod.rs
@@ -30,7 +30,7 @@
 use super::Core;
 use super::answer_stream::StreamReceiver;
 use super::counters::add;
-use super::request::{Answer, FinalAnswer, Responder, handle_request};
+use super::request::{Answer, FinalAnswer, RequestEnd, Responder, handle_request};
 use crate::api::NewRequest;
 use crate::node::process::readiness::Readiness;
 use crate::node::process::schedule::FIRST_REQUEST_TIME;
@@ -111,24 +111,25 @@
     }
 }
 
-/// Starts the life of a request that came on this connection, with the room of its body and what it keeps until its end, and waits
-/// for its answer. It has a task
+/// Starts the life of a request that came on this connection, with the room of its body, and waits for its answer; `on_end` is told
+/// how the request ended. It has a task
 /// of its own: a front's future is dropped when the client leaves, and the request still has to be withdrawn and let go of. In a
 /// shutdown a request that comes too late is refused and nothing is sent for it.
-pub async fn begin<K: 'static>(
+pub async fn begin(
     core: &Core, shutdown: &Shutdown, ask: NewRequest, payload: (Payload, Reservation),
-    connection: Option<Rc<ConnectionState>>, keep: K,
+    connection: Option<Rc<ConnectionState>>, on_end: impl FnOnce(RequestEnd) + 'static,
 ) -> FinalAnswer {
     if !shutdown.takes(&ask) {
         add(&core.counters.shed);
+        on_end(RequestEnd { may_have_run: false });
         return FinalAnswer { answer: Answer::Refused { retry_after: None }, revision: None };
     }
     let (caller, answer) = Responder::new(payload.0.id.clone());
     let caller = caller.on_connection(connection);
     let (core, pending) = (core.clone(), shutdown.pending());
     spawn_local(async move {
-        handle_request(core, ask, payload, caller).await;
-        drop((keep, pending));
+        on_end(handle_request(core, ask, payload, caller).await);
+        drop(pending);
     });
     answer.await.unwrap_or(FinalAnswer { answer: Answer::Failed, revision: None })
 }
--- a/src/node/front/platform.rs
+++ b/src/node/front/platform.rs
@@ -1,7 +1,5 @@
 //! The platform's front: its headers in, its status codes out.
 
-use std::cell::RefCell;
-use std::collections::{HashSet, VecDeque};
 use std::convert::Infallible;
 use std::future::Future;
 use std::pin::Pin;
@@ -13,7 +11,7 @@
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
 use hyper::{Method, Request, Response, StatusCode};
-use xxhash_rust::xxh3::{xxh3_64, xxh3_128};
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::intake::Intake;
 use super::intake::body::{BodyError, read_body};
@@ -23,13 +21,13 @@
 use crate::node::Core;
 use crate::node::counters::add;
 use crate::node::process::shutdown::Shutdown;
-use crate::node::request::{Answer, FinalAnswer};
+use crate::node::request::{Answer, FinalAnswer, RequestEnd};
+use crate::node::request_ids::RequestIds;
+use crate::node::request_ids::table::Untaken;
 use crate::node::upstream::attempt::Payload;
 use crate::node::upstream::headers::end_to_end_headers;
 use crate::wire::Names;
 
-/// Ids remembered after their requests have ended, to turn repeats down: minutes of a busy conductor, in under half a megabyte.
-const REMEMBERED: usize = 8_192;
 /// Longest id taken.
 const ID_MOST: usize = 128;
 /// Longest time a client may ask for, in milliseconds.
@@ -88,37 +86,6 @@
     }
 }
 
-/// Ids in use, and the last that were, each by its hash.
-#[derive(Default)]
-struct Ids {
-    known: HashSet<u128>,
-    ended: VecDeque<u128>,
-}
-
-/// The id of an open request; when dropped it is one of the last that were.
-struct OpenId(Rc<RefCell<Ids>>, u128);
-
-impl OpenId {
-    /// Takes an id that is new.
-    fn take(ids: &Rc<RefCell<Ids>>, id: &str) -> Option<Self> {
-        let id = xxh3_128(id.as_bytes());
-        let new = ids.borrow_mut().known.insert(id);
-        new.then(|| OpenId(ids.clone(), id))
-    }
-}
-
-impl Drop for OpenId {
-    fn drop(&mut self) {
-        let mut ids = self.0.borrow_mut();
-        ids.ended.push_back(self.1);
-        if ids.ended.len() > REMEMBERED
-            && let Some(old) = ids.ended.pop_front()
-        {
-            ids.known.remove(&old);
-        }
-    }
-}
-
 /// The platform's front, as a service over HTTP.
 #[derive(Clone)]
 pub struct PlatformFront {
@@ -126,13 +93,19 @@
     names: Rc<Names>,
     intake: Rc<Intake>,
     shutdown: Shutdown,
-    ids: Rc<RefCell<Ids>>,
+    ids: Rc<RequestIds>,
+    /// The requests of which classes must not run twice.
+    unsafe_classes: Rc<[bool]>,
 }
 
 impl PlatformFront {
     /// A front before this core.
-    pub fn new(core: Core, names: Names, intake: Rc<Intake>, shutdown: Shutdown) -> Self {
-        PlatformFront { core, names: Rc::new(names), intake, shutdown, ids: Rc::default() }
+    pub fn new(
+        core: Core, (names, settings): (Names, &Settings), intake: Rc<Intake>, shutdown: Shutdown,
+        ids: Rc<RequestIds>,
+    ) -> Self {
+        let unsafe_classes = settings.classes.iter().map(|class| class.effect != Effect::Safe).collect();
+        PlatformFront { core, names: Rc::new(names), intake, shutdown, ids, unsafe_classes }
     }
 
     async fn handle(self, request: Request<Incoming>) -> Reply {
@@ -196,15 +169,28 @@
             return Ok(self.shed());
         }
         let Some(room) = self.intake.room_for_answer() else { return Ok(self.shed()) };
-        let open = OpenId::take(&self.ids, &id).ok_or_else(|| Malformed::Duplicate(id.to_string()))?;
+        let is_unsafe = self.unsafe_classes.get(ask.class.0).copied().unwrap_or(true);
+        let taken = match self.ids.take(&id, is_unsafe) {
+            Ok(taken) => taken,
+            Err(Untaken::Duplicate) => return Err(Malformed::Duplicate(id.to_string())),
+            Err(Untaken::Full) => {
+                add(&self.core.counters.ids_full);
+                return Ok(self.shed());
+            }
+        };
         let on_the_way = ON_THE_WAY.min(ask.time_left / ON_THE_WAY_PART);
         ask.time_left -= arrived.elapsed().as_micros() as Micros + on_the_way;
         let target = request.uri().path_and_query().cloned().ok_or(Malformed::Path)?;
         let payload =
             Payload { id: id.clone(), target, headers: end_to_end_headers(request.headers()), body };
         let connection = self.intake.connection_of_request(&request);
+        let kept = room.clone();
+        let on_end = move |end: RequestEnd| {
+            taken.end(end.may_have_run);
+            drop(kept);
+        };
         let FinalAnswer { answer, revision } =
-            begin(&self.core, &self.shutdown, ask, (payload, permit), connection, (open, room.clone())).await;
+            begin(&self.core, &self.shutdown, ask, (payload, permit), connection, on_end).await;
         let mut reply = match answer {
             Answer::Events { form, stream: events } => {
                 stream(form.content_type, Pieces::new(events, id, room))
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -14,6 +14,7 @@
 pub mod policy_gate;
 pub mod process;
 pub mod request;
+pub mod request_ids;
 #[cfg(feature = "cluster")]
 pub mod shared;
 pub mod uninterrupted;
--- a/src/node/process/config.rs
+++ b/src/node/process/config.rs
@@ -53,6 +53,8 @@
     pub intake: usize,
     /// Most bytes of heads, bodies and answers held at once.
     pub request_bytes: usize,
+    /// Bytes for the ids of requests.
+    pub id_bytes: usize,
 }
 
 #[derive(Deserialize)]
@@ -107,6 +109,8 @@
 const CLIENTS_MEMORY_PERCENT: usize = 50;
 /// Of that, what connections may take before a byte of a request has come, in hundredths.
 const CONNECTIONS_MEMORY_PERCENT: usize = 60;
+/// Of the memory limit, in hundredths, what the ids of requests may take.
+const IDS_MEMORY_PERCENT: usize = 6;
 /// Memory of one client's connection without a request: its task, the HTTP library's buffers and a usual head that is not whole.
 const CONNECTION_BYTES: usize = 14 * 1024;
 /// Most bytes of heads, bodies and answers that the chat front holds.
@@ -209,6 +213,7 @@
             },
             intake: memory.connections,
             request_bytes: memory.request_bytes,
+            id_bytes: file.limits.memory_mb.min(4_096) * 1024 * 1024 / 100 * IDS_MEMORY_PERCENT,
         })
     }
 }
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -65,6 +65,18 @@
     pub revision: Option<Revision>,
 }
 
+/// How a request ended, for its front.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RequestEnd {
+    /// An instance may have begun the answer: the request may have had an effect.
+    pub may_have_run: bool,
+}
+
+/// Returns whether an attempt at a host that writes answers may have run the request, by its outcome.
+fn may_have_run(outcome: Outcome) -> bool {
+    !matches!(outcome, Outcome::Full | Outcome::Unreachable | Outcome::Moot | Outcome::NoState)
+}
+
 /// The channel for the final answer; `None` once the answer is given.
 type AnswerSender = Rc<RefCell<Option<oneshot::Sender<FinalAnswer>>>>;
 
@@ -197,13 +209,16 @@
 /// payload and is dropped together with it.
 pub async fn handle_request<R>(
     core: Core, mut request: NewRequest, (payload, permit): (Payload, R), mut responder: Responder,
-) {
+) -> RequestEnd {
     // 0. Admission: the policy gate tells which policy applies to the request until its end, or rejects it.
     let arrived_at = Instant::now();
     let admission = tokio::select! {
         biased;
         admission = core.policy_gate.admit(&core.planner) => admission,
-        () = responder.client_left() => return add(&core.counters.left),
+        () = responder.client_left() => {
+            add(&core.counters.left);
+            return RequestEnd { may_have_run: false };
+        }
     };
     match admission {
         Ok(Some(active)) => {
@@ -213,20 +228,22 @@
         }
         Ok(None) => {}
         Err(GateRejection(retry_after)) => {
-            return responder.finish(Answer::Refused { retry_after: Some(retry_after) }, &core.counters);
+            responder.finish(Answer::Refused { retry_after: Some(retry_after) }, &core.counters);
+            return RequestEnd { may_have_run: false };
         }
     }
     let mut lease = LeaseKeeper::new(core.upstream.clone(), payload.id.clone());
-    run_attempts(&core, request, (payload, permit), responder, &mut lease).await;
+    let end = run_attempts(&core, request, (payload, permit), responder, &mut lease).await;
     // Releases whatever a server may still hold, in whichever order the client and the planner ended the request.
     lease.finish().await;
+    end
 }
 
 /// Makes the attempts that the planner asks for, until the final answer is given and its stream has ended.
 async fn run_attempts<R>(
     core: &Core, request: NewRequest, (payload, permit): (Payload, R), mut responder: Responder,
     lease: &mut LeaseKeeper,
-) {
+) -> RequestEnd {
     let deadline = Instant::now() + to_duration(request.time_left);
     let overdue_at = deadline + OVERDUE_MARGIN;
     let counters = core.counters.clone();
@@ -236,6 +253,7 @@
     let mut attempts_sent = 0;
     // The client needs no further answer, and the planner knows that.
     let mut is_settled = false;
+    let mut end = RequestEnd { may_have_run: false };
     add(&counters.taken);
 
     loop {
@@ -328,6 +346,7 @@
                 if is_settled { break } else { continue }
             }
             InitialResult::Ended(outcome) => {
+                end.may_have_run |= !is_reader && may_have_run(outcome);
                 trace.end(outcome);
                 lease.attempt_ended(outcome);
                 let (outcome, is_final, report) = count_end(outcome, is_settled, 0.0, load);
@@ -339,6 +358,7 @@
         // 3. The stream. From its first event on it belongs to the client: no deadline applies and the request is never sent
         // again. The payload is dropped here because it is far larger than the buffered events.
         drop((payload, permit));
+        end.may_have_run = true;
         lease.stream_started();
         trace.is_answered = true;
         if !is_unary {
@@ -385,6 +405,7 @@
         handle.attempt_ended(attempt, host, outcome, is_final, report);
         break;
     }
+    end
 }
 
 /// Runs one attempt until its stream begins or it ends. If the client leaves, the planner is notified and cancels the attempt.
