Share request ids between the two processes of an upgrade

Cause: ids lived in one process, and nothing of them went over the link.

Change: one process owns the conductor's ids at any time, the older one until it has heard that the newer one serves. The owner tells the other of each id, the other asks for each; what a process that dies had open counts as what may have run. The id of a request for which nothing was sent is forgotten, as its client may send it again where it crosses the handover. A process of an earlier release neither gives nor gets ids.

--- a/src/main.rs
+++ b/src/main.rs
@@ -183,7 +183,12 @@
     // The chat front's address cannot be shared, nor a conductor's store and its address for peers: a process with one of
     // them is not succeeded while it runs.
     let alone = words.chat.is_none() && words.cluster.is_none();
-    let hello = Hello { version: handover::VERSION, name: config.name.clone(), listen: config.listen };
+    let hello = Hello {
+        version: handover::VERSION,
+        name: config.name.clone(),
+        listen: config.listen,
+        shares_ids: true,
+    };
     let Beginning { inherited, listener, link, meeting } = Beginning::find(&config, &hello, alone).await?;
     let listener = Rc::new(listener);
     // What the older process learnt goes by its clock.
@@ -209,6 +214,7 @@
     spawn_local(async move { tidied.run_eviction().await });
 
     let fresh = inherited.is_some();
+    let shares_ids = inherited.as_ref().is_some_and(|state| state.shares_ids);
     let known = first_list(&config, inherited, shutdown);
     let fleet = Fleet::new(core.clone(), config.settings.clone(), config.names.clone(), clock, known);
     let (told, heard) = watch::channel(false);
@@ -242,7 +248,11 @@
     spawn_local(follow_shutdown(core.planner.clone(), shutdown.clone(), clock));
     let intake = Intake::new(config.intake, config.request_bytes, counters.clone());
     spawn_local(policy_gate.apply_connection_limits(intake.clone(), pool));
-    let ids = RequestIds::new(config.id_bytes, clock);
+    let partners = Partners::default();
+    let ids = RequestIds::new(config.id_bytes, clock, partners.clone());
+    if shares_ids {
+        ids.await_handover();
+    }
     let front = PlatformFront::new(
         core,
         (config.names, &config.settings),
@@ -250,7 +260,6 @@
         shutdown.clone(),
         ids.clone(),
     );
-    let partners = Partners::default();
     if let Some(place) = config.operator {
         let listener = TcpListener::bind(place).await.map_err(|fault| StartError::Listen(place, fault))?;
         let operator = Operator::new(fleet.clone(), shutdown.clone(), partners.clone());
@@ -269,6 +278,7 @@
         listener: weak,
         discovery,
         partners,
+        ids,
         shares: Cell::new(0),
         clock,
     };
@@ -282,7 +292,7 @@
             let estate = Rc::new(estate);
             let offered = estate.clone();
             meeting.map(|path| spawn_local(async move { offered.offer(path).await }));
-            estate.succeed(link).await;
+            estate.succeed(link, shares_ids).await;
         });
     } else {
         spawn_local(serving);
--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -37,6 +37,8 @@
     heads_refused,
     /// Requests refused because their ids could not be remembered for long enough.
     ids_full,
+    /// Requests refused because the other process of an upgrade did not say in time whether their ids are new.
+    ids_unanswered,
     /// Requests answered with a complete stream.
     served,
     /// Requests answered with a stream that broke after its first event.
--- a/src/node/front/mod.rs
+++ b/src/node/front/mod.rs
@@ -121,7 +121,7 @@
 ) -> FinalAnswer {
     if !shutdown.takes(&ask) {
         add(&core.counters.shed);
-        on_end(RequestEnd { may_have_run: false });
+        on_end(RequestEnd::NeverSent);
         return FinalAnswer { answer: Answer::Refused { retry_after: None }, revision: None };
     }
     let (caller, answer) = Responder::new(payload.0.id.clone());
--- a/src/node/front/platform.rs
+++ b/src/node/front/platform.rs
@@ -170,13 +170,17 @@
         }
         let Some(room) = self.intake.room_for_answer() else { return Ok(self.shed()) };
         let is_unsafe = self.unsafe_classes.get(ask.class.0).copied().unwrap_or(true);
-        let taken = match self.ids.take(&id, is_unsafe) {
+        let taken = match self.ids.take(&id, is_unsafe).await {
             Ok(taken) => taken,
             Err(Untaken::Duplicate) => return Err(Malformed::Duplicate(id.to_string())),
             Err(Untaken::Full) => {
                 add(&self.core.counters.ids_full);
                 return Ok(self.shed());
             }
+            Err(Untaken::Unanswered) => {
+                add(&self.core.counters.ids_unanswered);
+                return Ok(self.shed());
+            }
         };
         let on_the_way = ON_THE_WAY.min(ask.time_left / ON_THE_WAY_PART);
         ask.time_left -= arrived.elapsed().as_micros() as Micros + on_the_way;
@@ -186,7 +190,7 @@
         let connection = self.intake.connection_of_request(&request);
         let kept = room.clone();
         let on_end = move |end: RequestEnd| {
-            taken.end(end.may_have_run);
+            taken.end(end);
             drop(kept);
         };
         let FinalAnswer { answer, revision } =
--- a/src/node/process/handover.rs
+++ b/src/node/process/handover.rs
@@ -13,6 +13,7 @@
 use crate::api::{Micros, Settings};
 use crate::estimate::FleetEstimates;
 use crate::node::list::membership::Membership;
+use crate::node::request_ids::messages::IdMessage;
 
 /// Of what is told. Another version is another way of speaking; nothing is handed over between two of them.
 pub const VERSION: u32 = 1;
@@ -37,6 +38,8 @@
     Lift(String),
     /// Operators drained the conductor, or took that back.
     Drain(bool),
+    /// What concerns request ids, between processes that both share them.
+    Ids(IdMessage),
 }
 
 /// Who asks.
@@ -48,6 +51,9 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Whether it shares request ids.
+    #[serde(default)]
+    pub shares_ids: bool,
 }
 
 /// What a newer process starts with.
@@ -66,6 +72,9 @@
     pub learnt: FleetEstimates,
     /// ...and under which settings, as [`digest`] tells them apart: under others it says nothing.
     pub settings: u64,
+    /// Whether the older process shares request ids.
+    #[serde(default)]
+    pub shares_ids: bool,
 }
 
 /// Tells settings apart.
@@ -121,6 +130,16 @@
     Newer,
 }
 
+impl Side {
+    /// Returns the other side.
+    pub fn other(self) -> Self {
+        match self {
+            Side::Older => Side::Newer,
+            Side::Newer => Side::Older,
+        }
+    }
+}
+
 /// One upgrade, as one of the two processes sees it.
 #[derive(Debug)]
 pub struct Handover {
--- a/src/node/process/handover/tests.rs
+++ b/src/node/process/handover/tests.rs
@@ -60,7 +60,7 @@
 fn only_the_same_conductor_in_the_same_version_is_admitted() {
     let hello = |version, name: &str, port| {
         let (name, listen) = (name.into(), SocketAddr::from(([127, 0, 0, 1], port)));
-        Hello { version, name, listen }
+        Hello { version, name, listen, shares_ids: false }
     };
     let own = hello(VERSION, "n1", 80);
     assert_eq!(own.admits(&own), Ok(()));
--- a/src/node/process/succession.rs
+++ b/src/node/process/succession.rs
@@ -27,14 +27,15 @@
 use crate::node::counters::add;
 use crate::node::front::intake::Intake;
 use crate::node::list::fleet::Fleet;
+use crate::node::request_ids::RequestIds;
 use crate::node::{Clock, to_duration};
 
 /// For the other process to answer, before the newer starts on its own or the older hears the next.
 const ANSWER: Duration = Duration::from_secs(1);
 /// Longest line read: a list of some thousand instances.
 const LINE_MOST: u64 = 4 * 1024 * 1024;
-/// Told and not yet written; operators call a few times a minute.
-const WAITING: usize = 256;
+/// Told and not yet written. Each request is told of twice, and a process may be held up for 0.15 s.
+const WAITING: usize = 8_192;
 
 /// Why nothing was inherited.
 #[derive(Debug, thiserror::Error)]
@@ -164,12 +165,17 @@
         self.0.borrow_mut().iter_mut().for_each(|partner| deliver(partner, message));
     }
 
+    /// Tells the process at the other end of one link, if there is one. `side` is this process's.
+    pub fn tell_one(&self, side: Side, message: &Message) {
+        deliver(&mut self.0.borrow_mut()[side as usize], message);
+    }
+
     /// Tells the process on the other side of the one that said it.
     fn pass_on(&self, from: Side, message: &Message) {
         deliver(&mut self.0.borrow_mut()[1 - from as usize], message);
     }
 
-    fn set(&self, side: Side, sender: Option<mpsc::Sender<Message>>) {
+    pub(crate) fn set(&self, side: Side, sender: Option<mpsc::Sender<Message>>) {
         self.0.borrow_mut()[side as usize] = sender;
     }
 }
@@ -201,6 +207,8 @@
     pub discovery: watch::Receiver<SocketAddr>,
     /// The other processes.
     pub partners: Partners,
+    /// The ids of its requests.
+    pub ids: Rc<RequestIds>,
     /// Upgrades under way.
     pub shares: Cell<u32>,
     /// The time.
@@ -224,10 +232,13 @@
     }
 
     /// Lives one upgrade through: until the other process is gone, or is given up.
-    async fn live(&self, side: Side, (mut lines, mut half): Link, first: Option<Message>) {
+    async fn live(&self, side: Side, shares_ids: bool, (mut lines, mut half): Link, first: Option<Message>) {
         let (sender, mut told) = mpsc::channel(WAITING);
         first.into_iter().for_each(|message| drop(sender.try_send(message)));
         self.partners.set(side, Some(sender));
+        if shares_ids {
+            self.ids.partner_joined(side);
+        }
         if side == Side::Older {
             self.intake.set_successor(true);
         }
@@ -253,10 +264,17 @@
                     _ => break,
                 },
                 message = news.recv() => match message {
+                    Some(Message::Ids(message)) if shares_ids => {
+                        self.ids.told(side, message);
+                        continue;
+                    }
                     Some(message) => {
                         if matches!(message, Message::Ban(_) | Message::Lift(_) | Message::Drain(_)) {
                             self.partners.pass_on(side, &message);
                         }
+                        if message == Message::Serves && side == Side::Older && shares_ids {
+                            self.ids.hand_over();
+                        }
                         handover.told(message)
                     }
                     None => break,
@@ -273,6 +291,9 @@
         }
         reading.abort();
         self.partners.set(side, None);
+        if shares_ids {
+            self.ids.partner_lost(side);
+        }
         if side == Side::Older {
             self.intake.set_successor(false);
         }
@@ -286,9 +307,9 @@
     }
 
     /// Goes on with the older process's link: tells it that this one serves, and what operators say meanwhile.
-    pub async fn succeed(&self, inherited: Link) {
+    pub async fn succeed(&self, inherited: Link, shares_ids: bool) {
         add(&self.fleet.core().counters.inherited);
-        self.live(Side::Newer, inherited, Some(Message::Serves)).await;
+        self.live(Side::Newer, shares_ids, inherited, Some(Message::Serves)).await;
     }
 
     /// Offers all to a newer process, then to the next, until this process has ended. The path belongs to the newest process that
@@ -315,10 +336,10 @@
     /// Gives all to a newer process, and lives the upgrade through.
     async fn hand_over(&self, stream: UnixStream) {
         match timeout(ANSWER, self.give(stream)).await {
-            Ok(Ok(link)) => {
+            Ok(Ok((link, shares_ids))) => {
                 tracing::info!("handover: a newer process has what there is");
                 add(&self.fleet.core().counters.handed_over);
-                self.live(Side::Older, link, None).await;
+                self.live(Side::Older, shares_ids, link, None).await;
             }
             Ok(Err(fault)) => tracing::warn!("handover: not given: {fault}"),
             Err(_) => tracing::warn!("handover: not given: {}", LinkError::Silent),
@@ -339,7 +360,8 @@
         }
     }
 
-    async fn give(&self, stream: UnixStream) -> Result<Link, LinkError> {
+    /// Gives all to a newer process. Returns the link to it, and whether it shares request ids.
+    async fn give(&self, stream: UnixStream) -> Result<(Link, bool), LinkError> {
         let mut line = Vec::new();
         // Byte for byte up to the end of the line: the stream is needed whole to pass the socket.
         while line.last() != Some(&b'\n') {
@@ -374,9 +396,10 @@
             learnt: self.fleet.core().planner.flush().await,
             now: Some(self.clock.now()),
             settings: self.settings,
+            shares_ids: true,
         };
         say(&mut half, &Message::State(Box::new(state))).await?;
-        Ok((BufReader::new(read), half))
+        Ok(((BufReader::new(read), half), asker.shares_ids))
     }
 }
 
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -65,16 +65,27 @@
     pub revision: Option<Revision>,
 }
 
-/// How a request ended, for its front.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct RequestEnd {
+/// How far a request came, for its front.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum RequestEnd {
+    /// Nothing was sent for it.
+    NeverSent,
+    /// Attempts were sent that are known not to have begun its answer.
+    NotRun,
     /// An instance may have begun the answer: the request may have had an effect.
-    pub may_have_run: bool,
+    MayHaveRun,
 }
 
-/// Returns whether an attempt at a host that writes answers may have run the request, by its outcome.
-fn may_have_run(outcome: Outcome) -> bool {
-    !matches!(outcome, Outcome::Full | Outcome::Unreachable | Outcome::Moot | Outcome::NoState)
+impl RequestEnd {
+    /// How far an attempt brings the request, by its outcome. A reader begins no answer.
+    fn after(outcome: Outcome, is_reader: bool) -> Self {
+        match outcome {
+            Outcome::Moot => RequestEnd::NeverSent,
+            Outcome::Full | Outcome::Unreachable | Outcome::NoState => RequestEnd::NotRun,
+            _ if is_reader => RequestEnd::NotRun,
+            _ => RequestEnd::MayHaveRun,
+        }
+    }
 }
 
 /// The channel for the final answer; `None` once the answer is given.
@@ -217,7 +228,7 @@
         admission = core.policy_gate.admit(&core.planner) => admission,
         () = responder.client_left() => {
             add(&core.counters.left);
-            return RequestEnd { may_have_run: false };
+            return RequestEnd::NeverSent;
         }
     };
     match admission {
@@ -229,7 +240,7 @@
         Ok(None) => {}
         Err(GateRejection(retry_after)) => {
             responder.finish(Answer::Refused { retry_after: Some(retry_after) }, &core.counters);
-            return RequestEnd { may_have_run: false };
+            return RequestEnd::NeverSent;
         }
     }
     let mut lease = LeaseKeeper::new(core.upstream.clone(), payload.id.clone());
@@ -253,7 +264,7 @@
     let mut attempts_sent = 0;
     // The client needs no further answer, and the planner knows that.
     let mut is_settled = false;
-    let mut end = RequestEnd { may_have_run: false };
+    let mut end = RequestEnd::NeverSent;
     add(&counters.taken);
 
     loop {
@@ -339,6 +350,7 @@
         let mut events = match first {
             InitialResult::Streaming(events) => events,
             InitialResult::PromptRead(cached_tokens) => {
+                end = end.max(RequestEnd::NotRun);
                 trace.end(Outcome::Read);
                 lease.attempt_ended(Outcome::Read);
                 let (outcome, is_final, report) = count_end(Outcome::Read, is_settled, cached_tokens, load);
@@ -346,7 +358,7 @@
                 if is_settled { break } else { continue }
             }
             InitialResult::Ended(outcome) => {
-                end.may_have_run |= !is_reader && may_have_run(outcome);
+                end = end.max(RequestEnd::after(outcome, is_reader));
                 trace.end(outcome);
                 lease.attempt_ended(outcome);
                 let (outcome, is_final, report) = count_end(outcome, is_settled, 0.0, load);
@@ -358,7 +370,7 @@
         // 3. The stream. From its first event on it belongs to the client: no deadline applies and the request is never sent
         // again. The payload is dropped here because it is far larger than the buffered events.
         drop((payload, permit));
-        end.may_have_run = true;
+        end = RequestEnd::MayHaveRun;
         lease.stream_started();
         trace.is_answered = true;
         if !is_unary {
--- a/src/node/request_ids/table.rs
+++ b/src/node/request_ids/table.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{HashMap, VecDeque};
 
+use super::messages::{IdList, KnownIds};
 use crate::api::Micros;
 
 /// A request's id, by its hash.
@@ -22,6 +23,8 @@
     MayHaveRun,
     /// Running it again does no harm.
     Harmless,
+    /// Nothing was sent for it. Its client may send it again, so the id is forgotten.
+    NeverSent,
 }
 
 /// Why an id is not taken.
@@ -33,6 +36,9 @@
     /// The id could not be remembered for long enough.
     #[error("no room to remember the id")]
     Full,
+    /// The process that owns the ids has not answered.
+    #[error("the other process of the upgrade does not answer")]
+    Unanswered,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -73,6 +79,23 @@
         self.entries.contains_key(&id)
     }
 
+    /// Returns whether a request with this id is open.
+    pub fn is_open(&self, id: IdHash) -> bool {
+        self.entries.get(&id) == Some(&Entry::Open)
+    }
+
+    /// Returns all ids that are known, those that have ended in the order in which they will be forgotten.
+    pub fn known(&self) -> KnownIds {
+        let open = self.entries.iter().filter(|(_, entry)| **entry == Entry::Open).map(|(id, _)| *id);
+        let is_harmless = |id: &&IdHash| self.entries.get(id) == Some(&Entry::Ended(Ended::Harmless));
+        KnownIds {
+            open: IdList(open.collect()),
+            may_have_run: IdList(self.may_have_run.iter().map(|(id, _)| *id).collect()),
+            harmless: IdList(self.harmless.iter().filter(is_harmless).copied().collect()),
+            never_sent: IdList::default(),
+        }
+    }
+
     /// Takes the id of a new request. `is_unsafe` says that the request must not run twice.
     pub fn take(&mut self, now: Micros, id: IdHash, is_unsafe: bool) -> Result<(), Untaken> {
         if self.is_known(id) {
@@ -98,11 +121,17 @@
         if self.entries.get(&id) == Some(&Entry::Ended(Ended::MayHaveRun)) {
             return;
         }
+        if ended == Ended::NeverSent {
+            if self.is_open(id) {
+                self.entries.remove(&id);
+            }
+            return;
+        }
         let was = self.entries.insert(id, Entry::Ended(ended));
         match ended {
             Ended::MayHaveRun => self.may_have_run.push_back((id, now)),
             Ended::Harmless if was == Some(Entry::Ended(Ended::Harmless)) => {}
-            Ended::Harmless => self.harmless.push_back(id),
+            _ => self.harmless.push_back(id),
         }
         self.forget();
     }
--- a/src/node/request_ids/table/tests.rs
+++ b/src/node/request_ids/table/tests.rs
@@ -31,6 +31,19 @@
     assert!(!table.is_known(0) && table.is_known(1));
 }
 
+/// A request that was refused unsent may be sent again, also where that crosses the handover of an upgrade.
+#[test]
+fn an_id_for_which_nothing_was_sent_may_come_again() {
+    let mut table = IdTable::new(0);
+    for _ in 0..3 {
+        assert_eq!(table.take(0, 7, true), Ok(()));
+        table.end(0, 7, Ended::NeverSent);
+    }
+    run(&mut table, 0, 7, Ended::MayHaveRun);
+    table.end(0, 7, Ended::NeverSent);
+    assert!(table.is_known(7));
+}
+
 #[test]
 fn more_memory_remembers_more() {
     let mut table = IdTable::new(2 * MIN_REMEMBERED * ID_BYTES);
--- a/tests/clients/ids.rs
+++ b/tests/clients/ids.rs
@@ -68,3 +68,41 @@
 fn an_unsafe_id_runs_once_behind_many_others_that_run() {
     runs_once_behind(9_600, "climb-query", 6_000);
 }
+/// A stream that is open at the older process, one that has ended there, and one of the newer process that comes to the older.
+#[test]
+fn an_unsafe_id_runs_once_in_an_upgrade() {
+    let manner = Manner { events: 40, between_events: ms(100), ..Manner::default() };
+    let fleet = Fleet::start(AMPLE, manner);
+    let mut older = fleet.process(8_082);
+    ask_and_go(&fleet, "ended");
+    let mut at_older = BufReader::new(fleet.connect());
+    let open = Request { timeout_ms: 10_000, ..Request::new("open", "route-save") };
+    at_older.get_mut().write_all(open.text().as_bytes()).expect("it reads");
+    while fleet.arrivals("w1", "open").is_empty() {
+        std::thread::sleep(ms(5));
+    }
+    // A request that has begun at the older process and comes to its end after the handover.
+    let mut begun = BufReader::new(fleet.connect());
+    let text = Request::new("new", "route-save").text();
+    let (begin, rest) = text.split_at(100);
+    begun.get_mut().write_all(begin.as_bytes()).expect("it reads");
+    // Behind it in the queue of connections.
+    assert_eq!(fleet.ask(&Request::new("usual", "climb-query")), Some((200, true)));
+    let newer = fleet.process(8_083);
+    older.logs("readiness: handing over");
+    let at_newer = ["open", "ended"].map(|id| fleet.ask(&Request::new(id, "route-save")));
+    ask_and_go(&fleet, "new");
+    begun.get_mut().write_all(rest.as_bytes()).expect("it reads");
+    let new_at_older = answer(&mut begun);
+    let runs = ["open", "ended", "new"].map(|id| fleet.arrivals("w1", id).len());
+    println!("at the newer {at_newer:?}, at the older {new_at_older:?}; runs {runs:?}");
+    older.signal("TERM");
+    assert_eq!(answer(&mut at_older), Some((200, true)));
+    older.ended(true);
+    // What both knew outlives the older process.
+    let again = ["open", "ended", "new"].map(|id| fleet.ask(&Request::new(id, "route-save")));
+    newer.end();
+    assert_eq!(runs, [1, 1, 1]);
+    assert_eq!((at_newer, new_at_older), ([Some((409, false)); 2], Some((409, false))));
+    assert_eq!(again, [Some((409, false)); 3]);
+}
