--- a/src/node/upstream/events.rs
+++ b/src/node/upstream/events.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use serde::Deserialize;
+use tokio::time::error::Elapsed;
 use tokio::time::{Instant, timeout_at};
 
 use super::pool::{Connection, Pool};
@@ -32,9 +33,9 @@
 /// Part of a stream in whole events, or the error that ended the stream.
 pub type StreamChunk = Result<Bytes, StreamError>;
 
-/// Time without an event after which a running stream counts as dead. It stays below 5 s, because clients
-/// must not wait that long for nothing.
-const MAX_SILENCE: Duration = Duration::from_millis(4_300);
+/// Time without a byte after which a running stream counts as dead. A client may be left waiting for 5 s, and this process may
+/// be held up for 0.15 s.
+const MAX_SILENCE: Duration = Duration::from_millis(4_850);
 /// Delay of a timer beyond which this process must have been suspended.
 const MAX_TIMER_DELAY: Duration = Duration::from_millis(200);
 /// Largest event; longer data without an end is not an event.
@@ -69,8 +70,11 @@
     /// Events that were received by [`EventStream::wait_for_first`] and not yet returned.
     first_events: Option<Bytes>,
     framer: Option<Framer>,
-    /// When the latest events arrived.
-    last_event_at: Instant,
+    /// When bytes of the stream last arrived: an event that comes in slow pieces is no silence.
+    last_bytes_at: Instant,
+    /// Whether silence ends the stream. A server of the chat protocol may send the head of its answer long before the first
+    /// event, which the deadline of the attempt bounds.
+    ends_by_silence: bool,
     has_ended: bool,
 }
 
@@ -83,7 +87,7 @@
     ) -> Self {
         let head = AnswerHead { status, content_type: headers.get(CONTENT_TYPE).cloned() };
         let framer = head.is_event_stream().then(|| Framer { is_chat, ..Framer::default() });
-        let (last_event_at, connection) = (Instant::now(), Some(connection));
+        let (last_bytes_at, connection) = (Instant::now(), Some(connection));
         EventStream {
             pool,
             host,
@@ -92,7 +96,8 @@
             head,
             first_events: None,
             framer,
-            last_event_at,
+            last_bytes_at,
+            ends_by_silence: !is_chat,
             has_ended: false,
         }
     }
@@ -101,6 +106,7 @@
     /// it; nothing of it may be forwarded then.
     pub async fn wait_for_first(&mut self) -> Result<(), Outcome> {
         let first = self.read().await;
+        self.ends_by_silence = true;
         if self.has_error() {
             return Err(Outcome::Error);
         }
@@ -137,7 +143,8 @@
             if self.has_ended {
                 return None;
             }
-            match timeout_at(self.last_event_at + MAX_SILENCE, self.body.frame()).await {
+            let silent_until = self.ends_by_silence.then(|| self.last_bytes_at + MAX_SILENCE);
+            match wait_until(silent_until, self.body.frame()).await {
                 Ok(Some(Ok(frame))) => {
                     // Trailers contain nothing to forward.
                     let Some(bytes) = frame.into_data().ok().filter(|data| !data.is_empty()) else {
@@ -147,12 +154,10 @@
                         Some(framer) => framer.push(bytes),
                         None => Ok(bytes),
                     };
+                    self.last_bytes_at = Instant::now();
                     match whole_events {
                         Ok(bytes) if bytes.is_empty() => {}
-                        Ok(bytes) => {
-                            self.last_event_at = Instant::now();
-                            return Some(Ok(bytes));
-                        }
+                        Ok(bytes) => return Some(Ok(bytes)),
                         Err(MalformedEvents) => return self.fail(StreamError::Malformed),
                     }
                 }
@@ -166,8 +171,8 @@
                 }
                 // This process was suspended: what arrived meanwhile is still in the socket and is read
                 // first.
-                Err(_) if self.last_event_at.elapsed() > MAX_SILENCE + MAX_TIMER_DELAY => {
-                    self.last_event_at = Instant::now() + MAX_TIMER_DELAY - MAX_SILENCE;
+                Err(_) if self.last_bytes_at.elapsed() > MAX_SILENCE + MAX_TIMER_DELAY => {
+                    self.last_bytes_at = Instant::now() + MAX_TIMER_DELAY - MAX_SILENCE;
                 }
                 // After an error event a closed connection changes nothing: the client has its answer.
                 _ if self.has_error() => {
@@ -198,6 +203,14 @@
     }
 }
 
+/// Waits for a result until a moment, if there is one.
+async fn wait_until<T>(until: Option<Instant>, result: impl Future<Output = T>) -> Result<T, Elapsed> {
+    match until {
+        Some(until) => timeout_at(until, result).await,
+        None => Ok(result.await),
+    }
+}
+
 /// Returns whether the received bytes were not valid HTTP; otherwise the connection itself failed.
 fn is_malformed_http(error: &hyper::Error) -> bool {
     let io_error = error.source().and_then(|source| source.downcast_ref::<io::Error>());
--- a/tests/clients/main.rs
+++ b/tests/clients/main.rs
@@ -6,4 +6,5 @@
 mod memory;
 #[path = "../player/mod.rs"]
 mod player;
+mod slow_servers;
 mod stand_ins;
