Bound how many requests one connection has sent on

Callers saw: while one client brings requests with 1 ms left, under ever new names, one after the other on one connection, others are answered up to 0.26 s late.

Cause: nothing bounded the requests of a connection; each refused one cost a new connection to a reader and a release, and the reader's queue overflowed.

--- a/src/node/front/chat.rs
+++ b/src/node/front/chat.rs
@@ -296,7 +296,7 @@
         let mut ask = self.ask(&completion)?;
         let retries = request.headers().get(RETRY_COUNT).and_then(|v| v.to_str().ok()?.parse::<u32>().ok());
         ask.is_client_retry = retries.is_some_and(|n| n > 0);
-        if self.intake.full() {
+        if !self.intake.admits(&request) {
             return Err(self.shed());
         }
         let room = self.intake.room_for_answer().ok_or_else(|| self.shed())?;
--- a/src/node/front/intake/connection.rs
+++ b/src/node/front/intake/connection.rs
@@ -14,6 +14,7 @@
 use tokio::time::{Instant, timeout};
 
 use super::budget::{MemoryBudget, Reservation};
+use super::pace::Pace;
 use super::socket::Look;
 
 /// For a client to send a whole request: an error or a close is owed within 3 s.
@@ -104,6 +105,8 @@
     making_room: Notify,
     /// A request's head was taken.
     head_taken: Notify,
+    /// Of the requests that are to be sent on.
+    pace: Cell<Pace>,
     /// The client has closed the connection while its request waited.
     has_closed: Cell<bool>,
     close_lookup: RefCell<Option<CloseLookup>>,
@@ -156,6 +159,7 @@
             whole: RefCell::default(),
             making_room: Notify::new(),
             head_taken: Notify::new(),
+            pace: Cell::new(Pace::new(Instant::now())),
             has_closed: Cell::new(false),
             close_lookup: RefCell::default(),
             read_past: Cell::new(0),
@@ -164,6 +168,14 @@
         })
     }
 
+    /// Counts a request that is to be sent on, and returns whether the connection may bring it now.
+    pub(super) fn is_in_pace(&self) -> bool {
+        let mut pace = self.pace.get();
+        let is_in_pace = pace.admits(Instant::now());
+        self.pace.set(pace);
+        is_in_pace
+    }
+
     /// Sets how the client's close is looked up.
     pub(super) fn set_close_lookup(&self, lookup: impl Fn() -> Look + 'static) {
         self.close_lookup.replace(Some(Box::new(lookup)));
--- a/src/node/front/intake/mod.rs
+++ b/src/node/front/intake/mod.rs
@@ -1,12 +1,13 @@
 //! Room for what clients bring: connections, and the memory of their requests and answers. Who brings nothing makes room for who
-//! does.
+//! does, and no connection brings more requests than its share.
 //!
-//! [`budget`] counts the memory, [`connection`] is where one connection stands, [`socket`] tells whether its client has closed it, [`stream`] watches its bytes,
+//! [`budget`] counts the memory, [`pace`] the requests of a connection, [`connection`] is where one connection stands, [`socket`] tells whether its client has closed it, [`stream`] watches its bytes,
 //! [`body`] reads a request's body.
 
 pub mod body;
 pub mod budget;
 pub mod connection;
+pub mod pace;
 pub mod socket;
 pub mod stream;
 
@@ -167,8 +168,20 @@
         }
     }
 
+    /// Whether a request may be taken on: no more of them are open than are served, and its connection has not brought too many.
+    pub fn admits<B>(&self, request: &Request<B>) -> bool {
+        if self.full() {
+            return false;
+        }
+        let is_in_pace = self.connection_of_request(request).is_none_or(|connection| connection.is_in_pace());
+        if !is_in_pace {
+            add(&self.counters.too_fast);
+        }
+        is_in_pace
+    }
+
     /// Whether so many requests are open that one more cannot be taken on.
-    pub fn full(&self) -> bool {
+    fn full(&self) -> bool {
         let open = |connection: &&Rc<ConnectionState>| connection.stage() == Stage::Open;
         self.crowded() && self.connections.borrow().values().filter(open).count() > self.most.get()
     }
--- a/src/node/front/platform.rs
+++ b/src/node/front/platform.rs
@@ -165,7 +165,7 @@
             read => read?,
         };
         let (id, mut ask) = head?;
-        if self.intake.full() {
+        if !self.intake.admits(&request) {
             return Ok(self.shed());
         }
         let Some(room) = self.intake.room_for_answer() else { return Ok(self.shed()) };
--- a/tests/clients/main.rs
+++ b/tests/clients/main.rs
@@ -2,6 +2,7 @@
 //! speed, clients that have gone, ids that come again, and servers that read or write slowly.
 
 mod departures;
+mod floods;
 mod ids;
 mod memory;
 #[path = "../player/mod.rs"]
--- a/tests/clients/stand_ins.rs
+++ b/tests/clients/stand_ins.rs
@@ -132,6 +132,12 @@
         let at = arrivals.get(id).into_iter().flatten();
         at.filter(|(name, _)| *name == instance).map(|(_, at)| *at).collect()
     }
+
+    /// How many requests with ids that begin with this text reached an instance.
+    pub fn arrived_ids(&self, start: &str) -> u64 {
+        let arrivals = self.arrivals.lock().expect("no panic");
+        arrivals.keys().filter(|id| id.starts_with(start) && *id != "first").count() as u64
+    }
 }
 
 impl Drop for Fleet {
