Count only requests that go unserved against a connection's pace

Seen: tests/upgrade no_request_is_lost_in_two_upgrades_in_a_row_under_load failed: its six clients are served hundreds of times a second on kept connections and were refused beyond 64.

Cause: the pace counted all requests of a connection, also those that are served.

Change: of a connection 64 requests in a row and 64 a second may go unserved; what is served does not count.

--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -33,7 +33,7 @@
     evicted,
     /// Client connections that were closed to make room while a partly received request had stalled.
     evicted_begun,
-    /// Requests refused because their connection brought too many in a short time. They count as shed, too.
+    /// Requests refused because too many of their connection went unserved in a short time. They count as shed, too.
     too_fast,
     /// Requests refused before their head was whole, because there was no memory for it.
     heads_refused,
--- a/src/node/front/intake/connection.rs
+++ b/src/node/front/intake/connection.rs
@@ -105,7 +105,7 @@
     making_room: Notify,
     /// A request's head was taken.
     head_taken: Notify,
-    /// Of the requests that are to be sent on.
+    /// Of the requests that are not served.
     pace: Cell<Pace>,
     /// The client has closed the connection while its request waited.
     has_closed: Cell<bool>,
@@ -168,7 +168,7 @@
         })
     }
 
-    /// Counts a request that is to be sent on, and returns whether the connection may bring it now.
+    /// Returns whether the connection may bring a request that is to be sent on now.
     pub(super) fn is_in_pace(&self) -> bool {
         let mut pace = self.pace.get();
         let is_in_pace = pace.admits(Instant::now());
@@ -176,6 +176,13 @@
         is_in_pace
     }
 
+    /// A request of the connection was not served.
+    pub fn note_unserved(&self) {
+        let mut pace = self.pace.get();
+        pace.note_unserved();
+        self.pace.set(pace);
+    }
+
     /// Sets how the client's close is looked up.
     pub(super) fn set_close_lookup(&self, lookup: impl Fn() -> Look + 'static) {
         self.close_lookup.replace(Some(Box::new(lookup)));
--- a/src/node/front/intake/mod.rs
+++ b/src/node/front/intake/mod.rs
@@ -1,7 +1,7 @@
 //! Room for what clients bring: connections, and the memory of their requests and answers. Who brings nothing makes room for who
-//! does, and no connection brings more requests than its share.
+//! does, and no connection brings many requests that are not served.
 //!
-//! [`budget`] counts the memory, [`pace`] the requests of a connection, [`connection`] is where one connection stands, [`socket`] tells whether its client has closed it, [`stream`] watches its bytes,
+//! [`budget`] counts the memory, [`pace`] a connection's requests that are not served, [`connection`] is where one connection stands, [`socket`] tells whether its client has closed it, [`stream`] watches its bytes,
 //! [`body`] reads a request's body.
 
 pub mod body;
@@ -168,7 +168,8 @@
         }
     }
 
-    /// Whether a request may be taken on: no more of them are open than are served, and its connection has not brought too many.
+    /// Whether a request may be taken on: no more of them are open than are served, and its connection has not brought too many
+    /// that went unserved.
     pub fn admits<B>(&self, request: &Request<B>) -> bool {
         if self.full() {
             return false;
--- a/src/node/front/intake/pace.rs
+++ b/src/node/front/intake/pace.rs
@@ -1,17 +1,17 @@
-//! How fast one connection may bring requests that are sent on. It does no I/O and takes time as an argument.
+//! How many requests one connection may bring that are not served. It does no I/O and takes time as an argument.
 
 use tokio::time::Instant;
 
-/// Requests that one connection may bring in a row at any pace.
+/// Requests in a row that may go unserved at any pace.
 const MAX_BURST: f64 = 64.0;
-/// Requests a second that one connection may bring in the long run. A connection carries one request at a time, and an answer
-/// takes tens of milliseconds at least.
-const MAX_REQUESTS_PER_S: f64 = 64.0;
+/// Requests a second that may go unserved in the long run.
+const MAX_UNSERVED_PER_S: f64 = 64.0;
 
-/// The pace of one connection.
+/// The pace of one connection. Served requests are as fast as instances are; one that is refused takes its client no time, and may
+/// have cost the fleet a connection and the read of a prompt.
 #[derive(Clone, Copy, Debug)]
 pub struct Pace {
-    /// Requests that may come now.
+    /// Requests that may go unserved now.
     allowed: f64,
     updated_at: Instant,
 }
@@ -22,16 +22,17 @@
         Pace { allowed: MAX_BURST, updated_at: now }
     }
 
-    /// Counts one request, and returns whether it may be sent on.
+    /// Returns whether a request may be sent on now.
     pub fn admits(&mut self, now: Instant) -> bool {
-        let regained = now.saturating_duration_since(self.updated_at).as_secs_f64() * MAX_REQUESTS_PER_S;
+        let regained = now.saturating_duration_since(self.updated_at).as_secs_f64() * MAX_UNSERVED_PER_S;
         self.allowed = (self.allowed + regained).min(MAX_BURST);
         self.updated_at = now;
-        let is_admitted = self.allowed >= 1.0;
-        if is_admitted {
-            self.allowed -= 1.0;
-        }
-        is_admitted
+        self.allowed >= 1.0
+    }
+
+    /// A request that was admitted has not been served.
+    pub fn note_unserved(&mut self) {
+        self.allowed -= 1.0;
     }
 }
 
--- a/src/node/front/mod.rs
+++ b/src/node/front/mod.rs
@@ -125,13 +125,17 @@
         return FinalAnswer { answer: Answer::Refused { retry_after: None }, revision: None };
     }
     let (caller, answer) = Responder::new(payload.0.id.clone());
-    let caller = caller.on_connection(connection);
+    let caller = caller.on_connection(connection.clone());
     let (core, pending) = (core.clone(), shutdown.pending());
     spawn_local(async move {
         on_end(handle_request(core, ask, payload, caller).await);
         drop(pending);
     });
-    answer.await.unwrap_or(FinalAnswer { answer: Answer::Failed, revision: None })
+    let answer = answer.await.unwrap_or(FinalAnswer { answer: Answer::Failed, revision: None });
+    if !matches!(answer.answer, Answer::Events { .. }) {
+        connection.iter().for_each(|connection| connection.note_unserved());
+    }
+    answer
 }
 
 /// Serves connections until the process ends and nothing arrives any more. With `tls` each client must prove its
--- a/tests/clients/floods.rs
+++ b/tests/clients/floods.rs
@@ -15,7 +15,7 @@
 /// By as much memory may grow while the flood goes on, in kB.
 const MAX_GROWTH_KB: u64 = 8 * 1_024;
 
-/// Requests of one connection that may be sent on: as many in a row, and as many in each second.
+/// Requests of one connection that may go unserved: as many in a row, and as many in each second.
 const MAX_REQUESTS: u64 = 64;
 
 /// What one client sends, by the number of the request.
