Let operators' words cross an upgrade from the newer process's start

Cause: the newer process joined the link only once it could serve, and what was said before was told to nobody.

Change: it joins the link at its start, before operators' calls are taken; that it serves is a later message.

--- a/src/main.rs
+++ b/src/main.rs
@@ -260,44 +260,44 @@
         shutdown.clone(),
         ids.clone(),
     );
-    if let Some(place) = config.operator {
-        let listener = TcpListener::bind(place).await.map_err(|fault| StartError::Listen(place, fault))?;
-        let operator = Operator::new(fleet.clone(), shutdown.clone(), partners.clone());
-        #[cfg(feature = "cluster")]
-        let operator = operator.among(conductors.clone());
-        spawn_local(operator::serve(listener, operator));
-        tracing::info!("operators call at {place}");
-    }
     let weak = Rc::downgrade(&listener);
-    let estate = Estate {
+    let estate = Rc::new(Estate {
         hello,
         settings,
-        fleet,
+        fleet: fleet.clone(),
         shutdown: shutdown.clone(),
         intake: intake.clone(),
         listener: weak,
         discovery,
-        partners,
+        partners: partners.clone(),
         ids,
         shares: Cell::new(0),
         clock,
-    };
+    });
+    let succeeds = link.is_some();
+    // Before operators call: what they say here concerns the older process, too.
+    link.into_iter().for_each(|link| estate.succeed(link, shares_ids));
+    if let Some(place) = config.operator {
+        let listener = TcpListener::bind(place).await.map_err(|fault| StartError::Listen(place, fault))?;
+        let operator = Operator::new(fleet, shutdown.clone(), partners);
+        #[cfg(feature = "cluster")]
+        let operator = operator.among(conductors.clone());
+        spawn_local(operator::serve(listener, operator));
+        tracing::info!("operators call at {place}");
+    }
     let ready = shutdown.clone();
     let serving = serve(listener, None, intake, shutdown.clone(), move |_| front.clone());
-    if let Some(link) = link {
-        // The older process takes the clients until this one can serve.
-        spawn_local(async move {
+    spawn_local(async move {
+        if succeeds {
+            // The older process takes the clients until this one can serve.
             ready.once(Readiness::healthy).await;
-            spawn_local(serving);
-            let estate = Rc::new(estate);
-            let offered = estate.clone();
-            meeting.map(|path| spawn_local(async move { offered.offer(path).await }));
-            estate.succeed(link, shares_ids).await;
-        });
-    } else {
+            estate.tell_serves();
+        }
         spawn_local(serving);
-        meeting.map(|path| spawn_local(async move { estate.offer(path).await }));
-    }
+        if let Some(path) = meeting {
+            estate.offer(path).await;
+        }
+    });
     tracing::info!("{} listens on {}", config.name, config.listen);
     #[cfg(feature = "cluster")]
     return Ok(conductors);
--- a/src/node/process/succession.rs
+++ b/src/node/process/succession.rs
@@ -231,14 +231,20 @@
         }
     }
 
-    /// Lives one upgrade through: until the other process is gone, or is given up.
-    async fn live(&self, side: Side, shares_ids: bool, (mut lines, mut half): Link, first: Option<Message>) {
-        let (sender, mut told) = mpsc::channel(WAITING);
-        first.into_iter().for_each(|message| drop(sender.try_send(message)));
+    /// Joins the link to another process: from now on it is told what operators say here, and of ids if it shares them.
+    fn join(&self, side: Side, shares_ids: bool) -> mpsc::Receiver<Message> {
+        let (sender, told) = mpsc::channel(WAITING);
         self.partners.set(side, Some(sender));
         if shares_ids {
             self.ids.partner_joined(side);
         }
+        told
+    }
+
+    /// Lives one upgrade through: until the other process is gone, or is given up.
+    async fn live(
+        &self, side: Side, shares_ids: bool, (mut lines, mut half): Link, mut told: mpsc::Receiver<Message>,
+    ) {
         if side == Side::Older {
             self.intake.set_successor(true);
         }
@@ -306,10 +312,20 @@
         );
     }
 
-    /// Goes on with the older process's link: tells it that this one serves, and what operators say meanwhile.
-    pub async fn succeed(&self, inherited: Link, shares_ids: bool) {
+    /// Goes on with the older process's link, from the start of this one: what operators say to either process concerns the other
+    /// as long as that may send.
+    pub fn succeed(self: &Rc<Self>, inherited: Link, shares_ids: bool) {
         add(&self.fleet.core().counters.inherited);
-        self.live(Side::Newer, shares_ids, inherited, Some(Message::Serves)).await;
+        let told = self.join(Side::Newer, shares_ids);
+        let estate = self.clone();
+        tokio::task::spawn_local(async move {
+            estate.live(Side::Newer, shares_ids, inherited, told).await;
+        });
+    }
+
+    /// Tells the older process that this one serves.
+    pub fn tell_serves(&self) {
+        self.partners.tell_one(Side::Newer, &Message::Serves);
     }
 
     /// Offers all to a newer process, then to the next, until this process has ended. The path belongs to the newest process that
@@ -339,7 +355,8 @@
             Ok(Ok((link, shares_ids))) => {
                 tracing::info!("handover: a newer process has what there is");
                 add(&self.fleet.core().counters.handed_over);
-                self.live(Side::Older, shares_ids, link, None).await;
+                let told = self.join(Side::Older, shares_ids);
+                self.live(Side::Older, shares_ids, link, told).await;
             }
             Ok(Err(fault)) => tracing::warn!("handover: not given: {fault}"),
             Err(_) => tracing::warn!("handover: not given: {}", LinkError::Silent),
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -66,6 +66,8 @@
 /// A fleet on loopback: discovery, one reader, one writer, and a count of what came to the writer by request.
 struct Fleet {
     base: String,
+    /// Discovery answers nothing.
+    is_silent: Arc<AtomicBool>,
     written: Arc<Mutex<HashMap<String, u32>>>,
     config: PathBuf,
     folder: PathBuf,
@@ -76,7 +78,12 @@
         let base = address();
         let list = ["r1", "w1", "w2"].map(|name| target(&base, name, "Ready")).join(",");
         let whole = format!(r#"{{"version":1,"full":true,"servers":[{list}]}}"#);
+        let is_silent = Arc::<AtomicBool>::default();
+        let silent = is_silent.clone();
         answering(format!("{base}:8500"), move |head, socket| {
+            while silent.load(Ordering::Relaxed) {
+                std::thread::sleep(Duration::from_millis(5));
+            }
             let followed = head.contains("follow=1");
             let _ = match followed {
                 false => write!(socket, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{whole}", whole.len()),
@@ -115,7 +122,7 @@
         }
         let config = platform(&base);
         let folder = config.parent().expect("a folder").to_owned();
-        Fleet { base, written, config, folder }
+        Fleet { base, is_silent, written, config, folder }
     }
 
     fn meeting_place(&self) -> PathBuf {
@@ -332,6 +339,32 @@
     newer.end();
 }
 
+/// Guards against an operator's word at a newer process that still starts, and that never reaches the older one, which sends on.
+#[test]
+fn what_operators_say_to_a_newer_process_that_still_starts_reaches_the_older() {
+    let fleet = Fleet::start();
+    let mut older = fleet.process(8_082);
+    fleet.serves(8_082);
+    fleet.is_silent.store(true, Ordering::Relaxed);
+    // Without a word of discovery it waits for a second before it serves.
+    let mut newer = fleet.process(8_083);
+    assert!(fleet.call(8_083, "POST", "/instances/w1/maint").contains("200 OK"));
+    assert!(!fleet.call(8_083, "GET", "/healthcheck").contains("200 OK"), "it serves too soon for this test");
+    older.logs("operator: w1 is out for maintenance");
+    assert!(fleet.call(8_082, "POST", "/instances/w2/maint").contains("200 OK"));
+    newer.logs("operator: w2 is out for maintenance");
+    assert!(fleet.call(8_083, "POST", "/instances/w2/ready").contains("200 OK"));
+    older.logs("operator: w2 is back");
+    assert!(!fleet.call(8_083, "GET", "/healthcheck").contains("200 OK"), "it serves too soon for this test");
+    fleet.is_silent.store(false, Ordering::Relaxed);
+    newer.logs("readiness: serving");
+    older.logs("readiness: handing over");
+    older.signal("TERM");
+    older.ended(true);
+    newer.logs("the older process is gone");
+    newer.end();
+}
+
 #[test]
 fn the_newer_goes_on_when_the_older_is_killed_midway() {
     let fleet = Fleet::start();
