Forward parts of long events in buffers of their own size

Cause: a part of a long event kept the whole buffer that it was split from, up to four of them for a stream that nobody reads, some 130 kB; under load more streams had filled all places.

Change: what is forwarded is copied to its own size; 4 kB are held of an event, given to the library unwritten, and read at once, 8 kB before. 32 kB are reserved for an answer, 24 before.

--- a/src/node/front/intake/connection.rs
+++ b/src/node/front/intake/connection.rs
@@ -31,7 +31,7 @@
 /// The end of a head's last line, and the empty line; each `\r` may be missing.
 const LONGEST_END: &[u8] = b"\n\r\n";
 /// Of an answer that the library may hold until the client's socket takes it.
-const MAX_UNWRITTEN_BYTES: usize = 8 * 1024;
+const MAX_UNWRITTEN_BYTES: usize = 4 * 1024;
 /// For a connection that has said nothing before it may make room: its first bytes may be on their way.
 const SILENT_LEAST: Duration = Duration::from_millis(250);
 /// For one that has begun a request, since it last sent a part of it.
--- a/src/node/front/intake/mod.rs
+++ b/src/node/front/intake/mod.rs
@@ -34,7 +34,7 @@
 
 /// Reserved for the answer of each open request: what the buffers between its instance and its client hold, and the
 /// connection to the instance.
-const ANSWER_BYTES: usize = 24 * 1024;
+const ANSWER_BYTES: usize = 32 * 1024;
 
 /// Memory that is reserved for a request's answer: the request has it until it ends, and the answer until it is written.
 pub type AnswerRoom = Rc<RefCell<Reservation>>;
--- a/src/node/upstream/events.rs
+++ b/src/node/upstream/events.rs
@@ -42,7 +42,7 @@
 const MAX_EVENT_BYTES: usize = 64 * 1024;
 /// Most of an event that is held until its end arrives. Longer events are forwarded in parts, so that a stream needs little
 /// memory however large its events are.
-const MAX_HELD_EVENT_BYTES: usize = 8 * 1024;
+const MAX_HELD_EVENT_BYTES: usize = 4 * 1024;
 
 /// Status and content type of an instance's answer, which the front passes on to the client.
 #[derive(Clone, Debug)]
@@ -253,15 +253,20 @@
             return Ok(bytes);
         }
         self.incomplete.extend_from_slice(&bytes);
-        let mut forwarded = self.incomplete.split_to(whole_events_len(&self.incomplete));
-        self.check(&forwarded)?;
-        if !forwarded.is_empty() {
+        let whole_len = whole_events_len(&self.incomplete);
+        let mut whole_events = self.incomplete.split_to(whole_len);
+        self.check(&whole_events)?;
+        if whole_len > 0 {
             self.forwarded_bytes = 0;
         }
         let part = self.incomplete.split_to(self.part_len()?);
         self.forwarded_bytes += part.len();
-        forwarded.unsplit(part);
-        Ok(forwarded.freeze())
+        whole_events.unsplit(part);
+        // What is forwarded may wait for long, and would keep the whole buffer.
+        let forwarded = Bytes::copy_from_slice(&whole_events);
+        drop(whole_events);
+        self.incomplete = BytesMut::from(&self.incomplete[..]);
+        Ok(forwarded)
     }
 
     /// Checks the event that is not complete, and returns how much of it is forwarded because it is too long to be held. The
--- a/src/node/upstream/socket.rs
+++ b/src/node/upstream/socket.rs
@@ -18,8 +18,8 @@
 use crate::node::request::ClientPresence;
 use crate::node::uninterrupted::RetryInterrupted;
 
-/// Most bytes that one read gives to hyper: less than its first buffer, which it doubles where a read fills it.
-const MAX_READ_BYTES: usize = 8 * 1024 - 1;
+/// Most bytes that one read gives to hyper, which are forwarded as one chunk: several chunks wait where a client reads slowly.
+const MAX_READ_BYTES: usize = 4 * 1024;
 
 /// How far a request has been written.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
