Rig: servers that read or write slowly in every way, with rules over what clients got

The incident's candidates need plays that no test had: slow before, within and behind the head, between events, within one, with comments alone, or as the request is read (also with small send buffers, by a shim that the rig builds); one of several servers or all; both classes; the platform's front, the chat front and its whole answers. 'rig slow-servers' plays all 384, or plays drawn by a seed; the verdict is a function without I/O with tests of its own.

--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod measure_state;
 pub mod policy;
 pub mod replicate;
+pub mod slow_servers;
 pub mod soak;
 pub mod stand_ins;
 
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -8,6 +8,8 @@
 use rig::fleet::{Fleet, Size, document};
 use rig::load::{Load, Outcome};
 use rig::policy;
+use rig::slow_servers::campaign as slowness;
+use rig::slow_servers::play::Play;
 use rig::soak::campaign;
 
 /// Starts real conductors on loopback, breaks things between them, and checks what they promise.
@@ -60,6 +62,33 @@
         #[arg(long)]
         verbose: bool,
     },
+    /// Servers that read requests or write answers slowly, in every way, at every place and on every front
+    SlowServers {
+        /// How often all is played
+        #[arg(long, default_value_t = 1)]
+        rounds: usize,
+        /// Requests of each class in a play
+        #[arg(long, default_value_t = 4)]
+        requests: usize,
+        /// How many plays at once
+        #[arg(long, default_value_t = 12)]
+        at_once: usize,
+        /// Only plays whose description holds this text
+        #[arg(long, default_value = "")]
+        only: String,
+        /// So many plays drawn by a seed instead, in which slow servers read slowly, too
+        #[arg(long, default_value_t = 0)]
+        drawn: usize,
+        /// That seed
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// The conductor's connections get small send buffers
+        #[arg(long)]
+        small_buffers: bool,
+        /// Tell the conductor's log of plays with findings
+        #[arg(long)]
+        verbose: bool,
+    },
     /// Shared state under faults: bans, named requests, copies that come together
     Replicate {
         /// The first history's seed
@@ -169,6 +198,39 @@
     Ok(failed == 0)
 }
 
+/// How plays with slow servers are run and told.
+struct SlowRun {
+    plays: Vec<Play>,
+    at_once: usize,
+    small_buffers: bool,
+    verbose: bool,
+}
+
+/// Plays servers that are slow. Returns whether no rule was broken.
+async fn slow_servers(program: &std::path::Path, run: SlowRun) -> std::io::Result<bool> {
+    let folder = tempfile::tempdir()?;
+    let preload = run.small_buffers.then(|| slowness::small_buffers(folder.path())).transpose()?;
+    let (mut passed, mut failed) = (0, 0);
+    slowness::run(program, preload.as_deref(), run.plays, run.at_once, |play, report| match report {
+        Ok(report) => {
+            let is_broken = report.played.iter().any(|played| !played.findings.is_empty());
+            print!("{}", slowness::describe(play, report));
+            if is_broken && run.verbose {
+                report.log.iter().for_each(|line| println!("    {line}"));
+                report.played.iter().for_each(|played| println!("    {played:?}"));
+            }
+            *if is_broken { &mut failed } else { &mut passed } += 1;
+        }
+        Err(error) => {
+            println!("{play:?}: {error}");
+            failed += 1;
+        }
+    })
+    .await;
+    println!("{passed} passed, {failed} failed");
+    Ok(failed == 0)
+}
+
 async fn histories(
     program: &std::path::Path, about: About, seeds: std::ops::Range<u64>, steps: usize,
 ) -> std::io::Result<bool> {
@@ -217,6 +279,14 @@
             Command::Soak { seed, seeds, at_once, verbose } => {
                 tokio::task::block_in_place(|| soak(&program, seed..seed + seeds, at_once, verbose))
             }
+            Command::SlowServers { rounds, requests, at_once, only, drawn, seed, small_buffers, verbose } => {
+                let mut plays = match drawn {
+                    0 => (0..rounds).flat_map(|_| slowness::all(requests)).collect(),
+                    _ => slowness::draw(seed, drawn),
+                };
+                plays.retain(|play: &Play| format!("{play:?}").contains(&only));
+                slow_servers(&program, SlowRun { plays, at_once, small_buffers, verbose }).await
+            }
             Command::Replicate { seed, seeds, steps } => {
                 histories(&program, About::State, seed..seed + seeds, steps).await
             }
