Log why a running stream broke, and when its last event and bytes arrived

The incident's records say that streams ended, not why: 'forwarding ended end=Broken(Cut)' stood for a connection that closed and for silence alike, at debug. A broken stream is now one line at warn, one a second, with the request, the instance, the reason and the time since its last event and its last bytes; streams_cut, streams_silent and streams_malformed count them. No change of what is done.

--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 
 use crate::api::Outcome;
+use crate::node::upstream::events::StreamError;
 
 macro_rules! counters {
     ($($(#[$doc:meta])* $name:ident),* $(,)?) => {
@@ -45,6 +46,12 @@
     served,
     /// Requests answered with a stream that broke after its first event.
     broken,
+    /// Streams whose instance closed or broke the connection before the end. They count as broken, too.
+    streams_cut,
+    /// Streams that were ended here because their instance sent nothing for too long. They count as broken, too.
+    streams_silent,
+    /// Streams that were ended here because they were not valid. They count as broken, too.
+    streams_malformed,
     /// Streams that were cut off before the process ended, for their clients to resume elsewhere. They count as broken, too.
     streams_moved,
     /// Requests rejected by the decision module.
@@ -145,6 +152,16 @@
 }
 
 impl Counters {
+    /// Counts a stream that broke after its first event, by the reason.
+    pub fn count_broken_stream(&self, error: StreamError) {
+        add(&self.broken);
+        add(match error {
+            StreamError::Cut => &self.streams_cut,
+            StreamError::Silent => &self.streams_silent,
+            StreamError::Malformed => &self.streams_malformed,
+        });
+    }
+
     /// Counts an ended attempt by its outcome.
     pub fn count_attempt_end(&self, outcome: Outcome) {
         add(match outcome {
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -19,7 +19,7 @@
 use crate::control::state::Revision;
 use crate::node::front::intake::connection::ConnectionState;
 use crate::node::upstream::attempt::{InitialResult, Payload};
-use crate::node::upstream::events::{AnswerHead, StreamError};
+use crate::node::upstream::events::{AnswerHead, StreamError, StreamProgress};
 use crate::node::upstream::lease_keeper::LeaseKeeper;
 use crate::node::upstream::pool::CloseGuard;
 use crate::node::upstream::relay::{self, RelayEnd};
@@ -215,6 +215,20 @@
     }
 }
 
+impl AttemptTrace<'_> {
+    /// Logs why a running stream broke, and when its last event and its last bytes arrived.
+    fn stream_broke(&self, error: StreamError, progress: StreamProgress) {
+        let Some(left_out) = self.core.upstream.sample_broken_stream() else { return };
+        let AttemptTrace { request, number, instance, .. } = self;
+        let (attempt, events) = (number.0, progress.events);
+        let since_event_ms = progress.last_event_at.elapsed().as_millis() as u64;
+        let since_bytes_ms = progress.last_bytes_at.elapsed().as_millis() as u64;
+        tracing::warn!(
+            %request, attempt, %instance, %error, events, since_event_ms, since_bytes_ms, left_out, "stream: broken"
+        );
+    }
+}
+
 /// Handles one request from its admission to its end. The planner makes each decision. The client gets exactly one final answer,
 /// and when this returns no attempt is in flight and no server holds state for the request. `permit` stands for the memory of the
 /// payload and is dropped together with it.
@@ -391,6 +405,9 @@
                 }
             }
         };
+        if let RelayEnd::Broken(error) = relay_end {
+            trace.stream_broke(error, events.progress());
+        }
         drop(events);
         client.finish(relay_end.stream_end());
         tracing::debug!(request = %trace.request, end = ?relay_end, "stream: forwarding ended");
@@ -401,8 +418,10 @@
                 add(&counters.broken);
                 Outcome::Broken
             }
-            RelayEnd::Broken(StreamError::Cut) => (add(&counters.broken), Outcome::Broken).1,
-            RelayEnd::Broken(StreamError::Malformed) => (add(&counters.broken), Outcome::Spoilt).1,
+            RelayEnd::Broken(error) => {
+                counters.count_broken_stream(error);
+                if error == StreamError::Malformed { Outcome::Spoilt } else { Outcome::Broken }
+            }
             RelayEnd::ErrorEvent => (add(&counters.failed), Outcome::Error).1,
             RelayEnd::ClientLeft => {
                 if !is_settled {
--- a/src/node/upstream/attempt.rs
+++ b/src/node/upstream/attempt.rs
@@ -87,6 +87,7 @@
     protocol: Protocol,
     counters: Rc<Counters>,
     unanswered_log: LogSampler,
+    broken_stream_log: LogSampler,
 }
 
 #[derive(Deserialize)]
@@ -144,7 +145,13 @@
 impl Upstream {
     /// Creates the client of the fleet whose connections are in `pool`.
     pub fn new(pool: Rc<Pool>, protocol: Protocol, counters: Rc<Counters>) -> Self {
-        Upstream { pool, protocol, counters, unanswered_log: LogSampler::default() }
+        Upstream {
+            pool,
+            protocol,
+            counters,
+            unanswered_log: LogSampler::default(),
+            broken_stream_log: LogSampler::default(),
+        }
     }
 
     /// Returns the fleet's connection pool.
@@ -163,6 +170,12 @@
         self.unanswered_log.sample()
     }
 
+    /// Decides whether a stream that broke is logged now. If so, returns how many were left out of the log since
+    /// the last one logged.
+    pub fn sample_broken_stream(&self) -> Option<u64> {
+        self.broken_stream_log.sample()
+    }
+
     /// Returns whether the host is a reader, at which an attempt may leave state. An unknown host counts as
     /// one.
     pub fn is_reader(&self, host: HostId) -> bool {
--- a/src/node/upstream/events.rs
+++ b/src/node/upstream/events.rs
@@ -22,9 +22,12 @@
 /// client notices.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum StreamError {
-    /// The connection closed or fell silent.
+    /// The connection closed, or the client is to resume elsewhere.
     #[error("the stream was cut off")]
     Cut,
+    /// The instance sent nothing for too long.
+    #[error("the stream fell silent")]
+    Silent,
     /// The bytes are not a valid event stream.
     #[error("the stream is not a valid event stream")]
     Malformed,
@@ -60,6 +63,17 @@
     }
 }
 
+/// How far an answer has come, for the log.
+#[derive(Clone, Copy, Debug)]
+pub struct StreamProgress {
+    /// Number of reads that completed at least one event.
+    pub events: u64,
+    /// When the latest whole event arrived; when the head did, before the first one.
+    pub last_event_at: Instant,
+    /// When bytes of the answer last arrived.
+    pub last_bytes_at: Instant,
+}
+
 /// Answer of an instance while it is being received.
 pub struct EventStream {
     pool: Rc<Pool>,
@@ -70,8 +84,7 @@
     /// Events that were received by [`EventStream::wait_for_first`] and not yet returned.
     first_events: Option<Bytes>,
     framer: Option<Framer>,
-    /// When bytes of the stream last arrived: an event that comes in slow pieces is no silence.
-    last_bytes_at: Instant,
+    progress: StreamProgress,
     /// Whether silence ends the stream. A server of the chat protocol may send the head of its answer long before the first
     /// event, which the deadline of the attempt bounds.
     ends_by_silence: bool,
@@ -87,7 +100,8 @@
     ) -> Self {
         let head = AnswerHead { status, content_type: headers.get(CONTENT_TYPE).cloned() };
         let framer = head.is_event_stream().then(|| Framer { is_chat, ..Framer::default() });
-        let (last_bytes_at, connection) = (Instant::now(), Some(connection));
+        let (now, connection) = (Instant::now(), Some(connection));
+        let progress = StreamProgress { events: 0, last_event_at: now, last_bytes_at: now };
         EventStream {
             pool,
             host,
@@ -96,7 +110,7 @@
             head,
             first_events: None,
             framer,
-            last_bytes_at,
+            progress,
             ends_by_silence: !is_chat,
             has_ended: false,
         }
@@ -130,6 +144,11 @@
         self.framer.as_ref().is_some_and(|framer| framer.has_error)
     }
 
+    /// Returns how far the answer has come.
+    pub fn progress(&self) -> StreamProgress {
+        self.progress
+    }
+
     /// Returns the next whole events, byte for byte, or `None` after the end of a complete stream.
     pub async fn next(&mut self) -> Option<Result<Bytes, StreamError>> {
         match self.first_events.take() {
@@ -143,7 +162,7 @@
             if self.has_ended {
                 return None;
             }
-            let silent_until = self.ends_by_silence.then(|| self.last_bytes_at + MAX_SILENCE);
+            let silent_until = self.ends_by_silence.then(|| self.progress.last_bytes_at + MAX_SILENCE);
             match wait_until(silent_until, self.body.frame()).await {
                 Ok(Some(Ok(frame))) => {
                     // Trailers contain nothing to forward.
@@ -154,10 +173,14 @@
                         Some(framer) => framer.push(bytes),
                         None => Ok(bytes),
                     };
-                    self.last_bytes_at = Instant::now();
+                    self.progress.last_bytes_at = Instant::now();
                     match whole_events {
                         Ok(bytes) if bytes.is_empty() => {}
-                        Ok(bytes) => return Some(Ok(bytes)),
+                        Ok(bytes) => {
+                            self.progress.last_event_at = self.progress.last_bytes_at;
+                            self.progress.events += 1;
+                            return Some(Ok(bytes));
+                        }
                         Err(MalformedEvents) => return self.fail(StreamError::Malformed),
                     }
                 }
@@ -171,8 +194,8 @@
                 }
                 // This process was suspended: what arrived meanwhile is still in the socket and is read
                 // first.
-                Err(_) if self.last_bytes_at.elapsed() > MAX_SILENCE + MAX_TIMER_DELAY => {
-                    self.last_bytes_at = Instant::now() + MAX_TIMER_DELAY - MAX_SILENCE;
+                Err(_) if self.progress.last_bytes_at.elapsed() > MAX_SILENCE + MAX_TIMER_DELAY => {
+                    self.progress.last_bytes_at = Instant::now() + MAX_TIMER_DELAY - MAX_SILENCE;
                 }
                 // After an error event a closed connection changes nothing: the client has its answer.
                 _ if self.has_error() => {
@@ -189,7 +212,7 @@
                 }
                 Err(_) => {
                     self.pool.mark_unresponsive(self.host);
-                    return self.fail(StreamError::Cut);
+                    return self.fail(StreamError::Silent);
                 }
             }
         }
