Wait for an instance's next event from its last whole event, and from no byte anew

Callers saw: streams whose server had stopped or dribbled bytes ended 5.1 to 6.7 s behind the last event, or never (29 s and more with a byte now and then).

Change: logic/answer_timer decides the wait without I/O. It starts with a whole event, only a whole event starts it anew, it stands still while the client does not take what it was sent, and it is over 4.85 s behind the event: 5 s less a hold-up of 0.15 s, the last 20 ms of it to read what arrived while the process was stopped or did not read. Before, that restarted the clock. The framer, now a module of its own, tells whole events from comments and parts; a block without data is no event.

Property tests over events, parts, stalls of the client and hold-ups.

--- a/src/logic/mod.rs
+++ b/src/logic/mod.rs
@@ -10,6 +10,7 @@
 //! of reach. The test is repeated after the read. The curve is fitted online for each kind of host.
 
 mod admission;
+pub mod answer_timer;
 mod attempts;
 mod cold;
 mod health;
--- /dev/null
+++ b/src/node/upstream/framer.rs
@@ -0,0 +1,166 @@
+//! Cuts the bytes of an answer into whole events, however the transport cuts them. No I/O.
+
+use bytes::{Bytes, BytesMut};
+use serde::Deserialize;
+
+/// Largest event; longer data without an end is not an event.
+const MAX_EVENT_BYTES: usize = 64 * 1024;
+/// Most of an event that is held until its end arrives. Longer events are forwarded in parts, so that a stream needs little
+/// memory however large its events are.
+const MAX_HELD_EVENT_BYTES: usize = 4 * 1024;
+
+/// The received bytes are not an event stream.
+#[derive(Debug, thiserror::Error)]
+#[error("not an event stream")]
+pub struct MalformedEvents;
+
+/// What may be forwarded.
+#[derive(Debug, Default)]
+pub struct Forwardable {
+    /// The bytes, unchanged; there may be none.
+    pub bytes: Bytes,
+    /// Whether they complete at least one event.
+    pub completes_event: bool,
+}
+
+/// Splits a byte stream into whole events, however the transport cuts it. The bytes stay unchanged.
+#[derive(Default)]
+pub struct Framer {
+    is_chat: bool,
+    /// Start of an event whose end has not arrived, without the part that was forwarded.
+    incomplete: BytesMut,
+    /// Bytes of that event that were forwarded already.
+    forwarded_bytes: usize,
+    /// Whether the event that marks the end of a chat stream has arrived.
+    is_done: bool,
+    /// Whether an event has reported an error.
+    has_error: bool,
+    /// Whether the part of an event that was forwarded already has a data line.
+    forwarded_data: bool,
+}
+
+#[derive(Deserialize)]
+struct MaybeError {
+    error: Option<serde::de::IgnoredAny>,
+}
+
+impl Framer {
+    /// Creates a framer. `is_chat` says that the events follow the chat protocol, in which an event marks the end of the
+    /// stream or reports an error.
+    pub fn new(is_chat: bool) -> Self {
+        Framer { is_chat, ..Framer::default() }
+    }
+
+    /// Adds bytes and returns all events that are complete now, or a part of an event that is too long to be held.
+    pub fn push(&mut self, bytes: Bytes) -> Result<Forwardable, MalformedEvents> {
+        if self.incomplete.is_empty() && whole_events_len(&bytes) == bytes.len() {
+            self.check(&bytes)?;
+            let completes_event = self.completes_event(&bytes);
+            return Ok(Forwardable { bytes, completes_event });
+        }
+        self.incomplete.extend_from_slice(&bytes);
+        let whole_len = whole_events_len(&self.incomplete);
+        let mut whole_events = self.incomplete.split_to(whole_len);
+        self.check(&whole_events)?;
+        let completes_event = self.completes_event(&whole_events);
+        let part = self.incomplete.split_to(self.part_len()?);
+        self.forwarded_bytes += part.len();
+        self.forwarded_data |= has_data_line(&part);
+        whole_events.unsplit(part);
+        // What is forwarded may wait for long, and would keep the whole buffer.
+        let bytes = Bytes::copy_from_slice(&whole_events);
+        drop(whole_events);
+        self.incomplete = BytesMut::from(&self.incomplete[..]);
+        Ok(Forwardable { bytes, completes_event })
+    }
+
+    /// Returns whether these bytes, all up to the end of an event or none, complete an event. A block of comments or of fields
+    /// without data is none: the format's parsers drop it.
+    fn completes_event(&mut self, blocks: &[u8]) -> bool {
+        if blocks.is_empty() {
+            return false;
+        }
+        self.forwarded_bytes = 0;
+        std::mem::take(&mut self.forwarded_data) || has_data_line(blocks)
+    }
+
+    /// Returns whether an event has reported an error.
+    pub fn has_error(&self) -> bool {
+        self.has_error
+    }
+
+    /// Checks the event that is not complete, and returns how much of it is forwarded because it is too long to be held. The
+    /// last line ends stay: they may begin the empty line that ends the event.
+    fn part_len(&self) -> Result<usize, MalformedEvents> {
+        let event = &self.incomplete[..];
+        // Binary data is rejected at once rather than after it has reached the size limit of an event.
+        let text_len = match std::str::from_utf8(event) {
+            Ok(text) => text.len(),
+            Err(error) if error.error_len().is_none() => error.valid_up_to(),
+            Err(_) => return Err(MalformedEvents),
+        };
+        if event.iter().any(is_control) || self.forwarded_bytes + event.len() > MAX_EVENT_BYTES {
+            return Err(MalformedEvents);
+        }
+        if self.is_chat || event.len() <= MAX_HELD_EVENT_BYTES {
+            return Ok(0);
+        }
+        let line_ends = event[..text_len].iter().rev().take_while(|byte| b"\r\n".contains(byte)).count();
+        Ok(text_len - line_ends)
+    }
+
+    /// Checks that whole events are text, and looks for the end mark and errors of a chat stream.
+    fn check(&mut self, events: &[u8]) -> Result<(), MalformedEvents> {
+        if std::str::from_utf8(events).is_err() || events.iter().any(is_control) {
+            return Err(MalformedEvents);
+        }
+        if self.is_chat {
+            events.split(|&byte| byte == b'\n').for_each(|line| self.inspect_line(line.trim_ascii()));
+        }
+        Ok(())
+    }
+
+    /// Records whether the line is the end mark or an error of a chat stream.
+    fn inspect_line(&mut self, line: &[u8]) {
+        let Some(data) = line.strip_prefix(b"data:").map(|data| data.trim_ascii()) else { return };
+        let reports_error =
+            |data| serde_json::from_slice(data).is_ok_and(|message: MaybeError| message.error.is_some());
+        self.is_done |= data == b"[DONE]";
+        self.has_error |= data != b"[DONE]" && reports_error(data);
+    }
+
+    /// Returns the bytes after the last whole event, once the stream has ended.
+    pub fn take_rest(&mut self) -> Bytes {
+        self.incomplete.split().freeze()
+    }
+
+    /// Returns whether a stream that ends here is complete.
+    pub fn is_complete_at_end(&mut self) -> bool {
+        if self.is_chat {
+            let rest = self.incomplete.clone();
+            rest.as_ref().split(|&byte| byte == b'\n').for_each(|line| self.inspect_line(line.trim_ascii()));
+        }
+        !self.is_chat || self.is_done || self.has_error
+    }
+}
+
+/// Returns the length of the whole events at the start of the bytes: up to the last empty line.
+fn whole_events_len(bytes: &[u8]) -> usize {
+    let ends_empty_line =
+        |index: &usize| matches!(bytes[..=*index], [.., b'\n', b'\n'] | [.., b'\n', b'\r', b'\n']);
+    (0..bytes.len()).rev().find(ends_empty_line).map_or(0, |index| index + 1)
+}
+
+/// Returns whether one of the lines holds data.
+fn has_data_line(text: &[u8]) -> bool {
+    let mut lines = text.split(|byte| b"\r\n".contains(byte));
+    lines.any(|line| line == b"data" || line.starts_with(b"data:"))
+}
+
+/// Returns whether the byte is a control character that text does not contain.
+fn is_control(byte: &u8) -> bool {
+    byte.is_ascii_control() && !matches!(byte, b'\n' | b'\r' | b'\t')
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/node/upstream/events/tests.rs
+++ b/src/node/upstream/framer/tests.rs
@@ -11,7 +11,7 @@
             break;
         }
         let (piece, further) = rest.split_at((*length).min(rest.len()));
-        forwarded.extend_from_slice(&framer.push(Bytes::copy_from_slice(piece))?);
+        forwarded.extend_from_slice(&framer.push(Bytes::copy_from_slice(piece))?.bytes);
         most_held = most_held.max(framer.incomplete.len());
         rest = further;
     }
