Begin an answer with its first whole event, and let the deadline run until then

Callers saw: 200 and then nothing, up to 30 s and more beyond their time, from a server that sends comments and no event; a first event of 20 kB that came seconds late.

Cause: whatever the framer gave out counted as the first event: a block of comments, or a part of an event that was too long to be held. The deadline stopped there, no other attempt could follow, and only silence ended the wait.

Change: an answer begins with a whole event. What comes before it is held, 12 kB at most, and comments beyond that are dropped. Of a longer first event forwarding begins, and the wait for its end stays bounded by the client's time (AnswerTimer::bound_first_event, streams_overdue).

--- a/src/logic/answer_timer.rs
+++ b/src/logic/answer_timer.rs
@@ -4,6 +4,9 @@
 //! next event starts with a whole event, and only the next whole event starts it anew: a part of an event, a comment or an empty
 //! line shows that bytes arrive, and the client has nothing of them. The wait stands still while nothing is read from the
 //! instance, because the client has not taken what it was sent before.
+//!
+//! The wait for the first event starts with the client's request. Nothing starts it anew: neither the head of the answer, nor
+//! comments, nor a part of the first event.
 
 use crate::api::Micros;
 
@@ -21,15 +24,18 @@
 pub enum Verdict {
     /// What may have arrived in time has to be read first; the wait goes on until [`AnswerTimer::due_at`].
     ReadOn,
-    /// No event arrived in time.
+    /// No event arrived in time behind the last one.
     Silent,
+    /// The client has stopped waiting for its final answer.
+    Overdue,
 }
 
 /// What is waited for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Awaited {
-    /// The first event, which the time-out of the attempt bounds.
-    FirstEvent,
+    /// The first event: until the client stops waiting for it, or where nothing of it is forwarded yet, for as long as the
+    /// attempt may take.
+    FirstEvent { deadline: Option<Micros> },
     /// The next event; the latest one arrived at this time, shifted by the time in which nothing was read.
     NextEvent { since: Micros },
 }
@@ -46,7 +52,7 @@
 
 impl Default for AnswerTimer {
     fn default() -> Self {
-        AnswerTimer { awaited: Awaited::FirstEvent, read_until: None, paused_at: None }
+        AnswerTimer { awaited: Awaited::FirstEvent { deadline: None }, read_until: None, paused_at: None }
     }
 }
 
@@ -56,6 +62,14 @@
         (self.awaited, self.read_until) = (Awaited::NextEvent { since: now }, None);
     }
 
+    /// Sets until when the first event has to be whole: a part of it is forwarded, so that no other attempt can follow. Changes
+    /// nothing once it is.
+    pub fn bound_first_event(&mut self, until: Micros) {
+        if let Awaited::FirstEvent { deadline } = &mut self.awaited {
+            *deadline = Some(until);
+        }
+    }
+
     /// Records that nothing is read until [`AnswerTimer::resume`]: the client has to take what it was sent first.
     pub fn pause(&mut self, now: Micros) {
         self.paused_at = Some(now);
@@ -73,18 +87,21 @@
     pub fn due_at(&self) -> Option<Micros> {
         match (self.read_until, self.awaited) {
             (Some(read_until), _) => Some(read_until),
-            (None, Awaited::FirstEvent) => None,
+            (None, Awaited::FirstEvent { deadline }) => deadline,
             (None, Awaited::NextEvent { since }) => Some(since + MAX_EVENT_WAIT_US),
         }
     }
 
     /// Decides what the end of a wait means. To be called once [`AnswerTimer::due_at`] has passed.
     pub fn expired(&mut self, now: Micros) -> Verdict {
-        if self.read_until.is_some() {
-            return Verdict::Silent;
+        if self.read_until.is_none() {
+            self.read_until = Some(now + LAST_READ_US);
+            return Verdict::ReadOn;
+        }
+        match self.awaited {
+            Awaited::NextEvent { .. } => Verdict::Silent,
+            Awaited::FirstEvent { .. } => Verdict::Overdue,
         }
-        self.read_until = Some(now + LAST_READ_US);
-        Verdict::ReadOn
     }
 }
 
--- a/src/logic/answer_timer/tests.rs
+++ b/src/logic/answer_timer/tests.rs
@@ -57,7 +57,7 @@
         if due_at >= until {
             return None;
         }
-        if timer.expired(due_at) == Verdict::Silent {
+        if timer.expired(due_at) != Verdict::ReadOn {
             return Some(due_at);
         }
     }
@@ -133,8 +133,38 @@
     }
 }
 
-/// The first event is bounded by the attempt's time-out alone.
+/// The attempt's time-out bounds the first event until a part of it is forwarded.
 #[test]
 fn nothing_is_due_before_the_first_event() {
     assert_eq!(AnswerTimer::default().due_at(), None);
 }
+
+proptest! {
+    /// Guards against a client that waits for its first event beyond its time, whatever has come of it.
+    #[test]
+    fn the_first_event_is_due_when_its_client_stops_waiting(
+        deadline in 0..20_000_000_i64, stalls in prop::collection::vec((0..1_000_000_i64, 0..1_000_000_i64), 0..8),
+    ) {
+        let (mut timer, mut at) = (AnswerTimer::default(), 0);
+        timer.bound_first_event(deadline);
+        for (pause, stall) in stalls {
+            at += pause;
+            timer.pause(at);
+            at += stall;
+            timer.resume(at);
+        }
+        prop_assert_eq!(timer.due_at(), Some(deadline));
+        prop_assert_eq!(timer.expired(deadline), Verdict::ReadOn);
+        prop_assert_eq!(timer.due_at(), Some(deadline + LAST_READ_US));
+        prop_assert_eq!(timer.expired(deadline + LAST_READ_US), Verdict::Overdue);
+    }
+
+    /// Guards against a deadline for the first event that ends a stream which has begun.
+    #[test]
+    fn the_deadline_of_the_first_event_ends_with_it(deadline in 0..20_000_000_i64, event_at in 0..20_000_000_i64) {
+        let mut timer = AnswerTimer::default();
+        timer.event_received(event_at);
+        timer.bound_first_event(deadline);
+        prop_assert_eq!(timer.due_at(), Some(event_at + MAX_EVENT_WAIT_US));
+    }
+}
--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -48,8 +48,10 @@
     broken,
     /// Streams whose instance closed or broke the connection before the end. They count as broken, too.
     streams_cut,
-    /// Streams that were ended here because their instance sent nothing for too long. They count as broken, too.
+    /// Streams that were ended here because no event arrived in time behind the last one. They count as broken, too.
     streams_silent,
+    /// Streams that were ended here because the first event was not whole in time. They count as broken, too.
+    streams_overdue,
     /// Streams that were ended here because they were not valid. They count as broken, too.
     streams_malformed,
     /// Streams that were cut off before the process ended, for their clients to resume elsewhere. They count as broken, too.
@@ -158,6 +160,7 @@
         add(match error {
             StreamError::Cut => &self.streams_cut,
             StreamError::Silent => &self.streams_silent,
+            StreamError::Overdue => &self.streams_overdue,
             StreamError::Malformed => &self.streams_malformed,
         });
     }
--- a/src/node/upstream/events.rs
+++ b/src/node/upstream/events.rs
@@ -5,7 +5,7 @@
 use std::io;
 use std::rc::Rc;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::StatusCode;
 use hyper::body::Incoming;
@@ -13,7 +13,7 @@
 use tokio::time::error::Elapsed;
 use tokio::time::{Instant, timeout_at};
 
-use super::framer::{Forwardable, Framer, MalformedEvents};
+use super::framer::{Forwardable, Framer, MAX_HELD_EVENT_BYTES, MalformedEvents};
 use super::pool::{Connection, Pool};
 use crate::api::{HostId, Micros, Outcome};
 use crate::logic::answer_timer::{AnswerTimer, Verdict};
@@ -29,6 +29,9 @@
     /// The instance sent no event in time.
     #[error("no event arrived in time")]
     Silent,
+    /// The client stopped waiting before its first event was whole.
+    #[error("the first event was not whole in time")]
+    Overdue,
     /// The bytes are not a valid event stream.
     #[error("the stream is not a valid event stream")]
     Malformed,
@@ -37,6 +40,9 @@
 /// Part of a stream in whole events, or the error that ended the stream.
 pub type StreamChunk = Result<Bytes, StreamError>;
 
+/// Most that is held before the first event is whole. The buffers behind it are empty until then.
+const MAX_HELD_FIRST_BYTES: usize = 12 * 1024;
+
 /// Status and content type of an instance's answer, which the front passes on to the client.
 #[derive(Clone, Debug)]
 pub struct AnswerHead {
@@ -107,24 +113,44 @@
         }
     }
 
-    /// Waits for the first event. Fails if the answer breaks, ends, is malformed or reports an error before
-    /// it; nothing of it may be forwarded then.
+    /// Waits for the first whole event. Fails if the answer breaks, ends, is malformed or reports an error before it; nothing of
+    /// it may be forwarded then. Of an event that is too long to be held, it waits for as much as can be held: forwarding has
+    /// to begin, and [`EventStream::bound_first_event`] bounds the rest.
     pub async fn wait_for_first(&mut self) -> Result<(), Outcome> {
-        let first = self.read().await;
-        if self.has_error() {
-            return Err(Outcome::Error);
-        }
-        match first {
-            Some(Ok(bytes)) => {
-                self.timer.event_received(self.now());
-                self.first_events = Some(bytes);
-                Ok(())
+        let mut held = BytesMut::new();
+        loop {
+            let chunk = self.read().await;
+            if self.has_error() {
+                return Err(Outcome::Error);
+            }
+            match chunk {
+                Some(Ok(bytes)) => held.extend_from_slice(&bytes),
+                Some(Err(StreamError::Malformed)) => return Err(Outcome::Spoilt),
+                _ => return Err(Outcome::Broken),
+            }
+            let has_event = self.progress.events > 0 || self.has_ended;
+            if has_event || held.len() > MAX_HELD_FIRST_BYTES && self.is_within_event() {
+                self.first_events = Some(held.freeze());
+                return Ok(());
+            }
+            if held.len() > MAX_HELD_FIRST_BYTES {
+                // Comments alone: no client misses them.
+                held.clear();
             }
-            Some(Err(StreamError::Malformed)) => Err(Outcome::Spoilt),
-            _ => Err(Outcome::Broken),
         }
     }
 
+    /// Returns whether a part of an event was received that is not whole.
+    fn is_within_event(&self) -> bool {
+        self.framer.as_ref().is_some_and(Framer::is_within_event)
+    }
+
+    /// Sets until when the first event has to be whole, where forwarding begins before it is.
+    pub fn bound_first_event(&mut self, deadline: Instant) {
+        let deadline = deadline.saturating_duration_since(self.started_at).as_micros() as Micros;
+        self.timer.bound_first_event(deadline);
+    }
+
     /// Returns status and content type of the answer.
     pub fn head(&self) -> &AnswerHead {
         &self.head
@@ -142,10 +168,10 @@
 
     /// Returns the next whole events, byte for byte, or `None` after the end of a complete stream.
     pub async fn next(&mut self) -> Option<Result<Bytes, StreamError>> {
-        match self.first_events.take() {
-            Some(bytes) => Some(Ok(bytes)),
-            None => self.read().await,
-        }
+        let Some(mut bytes) = self.first_events.take() else { return self.read().await };
+        let rest = bytes.split_off(bytes.len().min(MAX_HELD_EVENT_BYTES));
+        self.first_events = Some(rest).filter(|rest| !rest.is_empty());
+        Some(Ok(bytes))
     }
 
     /// Returns the time since the stream began.
@@ -166,8 +192,26 @@
                 return None;
             }
             let due_at = self.timer.due_at().map(|due_at| self.started_at + to_duration(due_at));
-            match wait_until(due_at, self.body.frame()).await {
-                Ok(Some(Ok(frame))) => {
+            let frame = wait_until(due_at, self.body.frame()).await;
+            let frame = match frame.map_err(|Elapsed { .. }| self.timer.expired(self.now())) {
+                Ok(frame) => frame,
+                Err(Verdict::ReadOn) => continue,
+                // After an error event silence changes nothing: the client has its answer.
+                Err(_) if self.has_error() => {
+                    self.has_ended = true;
+                    return None;
+                }
+                Err(Verdict::Silent) => {
+                    self.pool.mark_unresponsive(self.host);
+                    return self.fail(StreamError::Silent);
+                }
+                Err(Verdict::Overdue) => {
+                    self.pool.report_silence_since(self.host, self.progress.last_bytes_at);
+                    return self.fail(StreamError::Overdue);
+                }
+            };
+            match frame {
+                Some(Ok(frame)) => {
                     // Trailers contain nothing to forward.
                     let Some(bytes) = frame.into_data().ok().filter(|data| !data.is_empty()) else {
                         continue;
@@ -178,7 +222,7 @@
                         Err(MalformedEvents) => return self.fail(StreamError::Malformed),
                     }
                 }
-                Ok(None) if self.framer.as_mut().is_none_or(Framer::is_complete_at_end) => {
+                None if self.framer.as_mut().is_none_or(Framer::is_complete_at_end) => {
                     self.has_ended = true;
                     if let Some(connection) = self.connection.take() {
                         self.pool.put_back(self.host, connection);
@@ -186,24 +230,19 @@
                     let rest = self.framer.as_mut().map(Framer::take_rest).filter(|rest| !rest.is_empty());
                     return rest.map(Ok);
                 }
-                Err(_) if self.timer.expired(self.now()) == Verdict::ReadOn => {}
                 // After an error event a closed connection changes nothing: the client has its answer.
                 _ if self.has_error() => {
                     self.has_ended = true;
                     return None;
                 }
-                Ok(None) => return self.fail(StreamError::Cut),
-                Ok(Some(Err(error))) => {
+                None => return self.fail(StreamError::Cut),
+                Some(Err(error)) => {
                     return self.fail(if is_malformed_http(&error) {
                         StreamError::Malformed
                     } else {
                         StreamError::Cut
                     });
                 }
-                Err(_) => {
-                    self.pool.mark_unresponsive(self.host);
-                    return self.fail(StreamError::Silent);
-                }
             }
         }
     }
--- a/src/node/upstream/framer.rs
+++ b/src/node/upstream/framer.rs
@@ -7,7 +7,7 @@
 const MAX_EVENT_BYTES: usize = 64 * 1024;
 /// Most of an event that is held until its end arrives. Longer events are forwarded in parts, so that a stream needs little
 /// memory however large its events are.
-const MAX_HELD_EVENT_BYTES: usize = 4 * 1024;
+pub const MAX_HELD_EVENT_BYTES: usize = 4 * 1024;
 
 /// The received bytes are not an event stream.
 #[derive(Debug, thiserror::Error)]
@@ -84,6 +84,11 @@
         std::mem::take(&mut self.forwarded_data) || has_data_line(blocks)
     }
 
+    /// Returns whether a part of an event was forwarded, or is held, that is not complete.
+    pub fn is_within_event(&self) -> bool {
+        self.forwarded_bytes > 0 || !self.incomplete.is_empty()
+    }
+
     /// Returns whether an event has reported an error.
     pub fn has_error(&self) -> bool {
         self.has_error
--- a/tests/slow_servers.rs
+++ b/tests/slow_servers.rs
@@ -87,6 +87,22 @@
     }
 }
 
+/// Guards against bytes that are no event and count as the first one, so that the deadline for an answer stops.
+#[test]
+fn the_first_event_is_whole_or_the_answer_final_by_the_client_s_time() {
+    let ways = [
+        Slowness::BeforeHead(ms(20_000)),
+        Slowness::WithinHead(ms(100)),
+        Slowness::BeforeFirstEvent(ms(20_000)),
+        Slowness::CommentsOnly(ms(300)),
+        Slowness::CommentsOnly(ms(2)),
+        Slowness::WithinFirstEvent(600, ms(100)),
+        Slowness::WithinFirstEvent(600, ms(900)),
+        Slowness::WithinFirstEvent(9_000, ms(900)),
+    ];
+    run(STREAMING_FRONTS.into_iter().flat_map(|front| ways.map(|way| play(front, way))).collect());
+}
+
 /// Guards against an answer that waits for a server which still reads its request.
 #[test]
 fn an_answer_comes_in_time_where_servers_read_the_request_slowly() {
