Bound an answer in one piece by its client's time until it is whole

Callers saw, on the chat front with stream=false: the final answer 1 s to over 10 s after its time, or none within 30 s, where a server sent its answer slowly.

Cause: the first byte of an answer that is no event stream, or the first event of one that is, counted as the start of a stream, for which no deadline applies; the client of an answer in one piece has nothing of either.

Change: such an answer is due, whole, when its client stops waiting, whatever has come of it; the front says 502 then.

Measured: an_answer_in_one_piece_is_whole_or_final_by_the_client_s_time failed before and passes.

--- a/src/logic/answer_timer.rs
+++ b/src/logic/answer_timer.rs
@@ -6,7 +6,7 @@
 //! instance, because the client has not taken what it was sent before.
 //!
 //! The wait for the first event starts with the client's request. Nothing starts it anew: neither the head of the answer, nor
-//! comments, nor a part of the first event.
+//! comments, nor a part of the first event. The same holds for the end of an answer that its client gets in one piece.
 
 use crate::api::Micros;
 
@@ -38,6 +38,8 @@
     FirstEvent { deadline: Option<Micros> },
     /// The next event; the latest one arrived at this time, shifted by the time in which nothing was read.
     NextEvent { since: Micros },
+    /// The end of an answer that its client gets in one piece, until the client stops waiting for it.
+    End { deadline: Micros },
 }
 
 /// The waits of one answer.
@@ -59,7 +61,9 @@
 impl AnswerTimer {
     /// Records that at least one whole event arrived.
     pub fn event_received(&mut self, now: Micros) {
-        (self.awaited, self.read_until) = (Awaited::NextEvent { since: now }, None);
+        if !matches!(self.awaited, Awaited::End { .. }) {
+            (self.awaited, self.read_until) = (Awaited::NextEvent { since: now }, None);
+        }
     }
 
     /// Sets until when the first event has to be whole: a part of it is forwarded, so that no other attempt can follow. Changes
@@ -70,6 +74,11 @@
         }
     }
 
+    /// Sets until when the whole answer has to be there, because its client gets it in one piece.
+    pub fn bound_end(&mut self, deadline: Micros) {
+        (self.awaited, self.read_until) = (Awaited::End { deadline }, None);
+    }
+
     /// Records that nothing is read until [`AnswerTimer::resume`]: the client has to take what it was sent first.
     pub fn pause(&mut self, now: Micros) {
         self.paused_at = Some(now);
@@ -88,6 +97,7 @@
         match (self.read_until, self.awaited) {
             (Some(read_until), _) => Some(read_until),
             (None, Awaited::FirstEvent { deadline }) => deadline,
+            (None, Awaited::End { deadline }) => Some(deadline),
             (None, Awaited::NextEvent { since }) => Some(since + MAX_EVENT_WAIT_US),
         }
     }
@@ -100,7 +110,7 @@
         }
         match self.awaited {
             Awaited::NextEvent { .. } => Verdict::Silent,
-            Awaited::FirstEvent { .. } => Verdict::Overdue,
+            Awaited::FirstEvent { .. } | Awaited::End { .. } => Verdict::Overdue,
         }
     }
 }
--- a/src/logic/answer_timer/tests.rs
+++ b/src/logic/answer_timer/tests.rs
@@ -167,4 +167,18 @@
         timer.bound_first_event(deadline);
         prop_assert_eq!(timer.due_at(), Some(event_at + MAX_EVENT_WAIT_US));
     }
+
+    /// Guards against a whole answer that its client waits for beyond its time, because it arrives in pieces or events.
+    #[test]
+    fn a_whole_answer_is_due_when_its_client_stops_waiting(
+        deadline in 0..20_000_000_i64, events_at in prop::collection::vec(0..20_000_000_i64, 0..8),
+    ) {
+        let mut timer = AnswerTimer::default();
+        timer.event_received(0);
+        timer.bound_end(deadline);
+        events_at.iter().for_each(|&at| timer.event_received(at));
+        prop_assert_eq!(timer.due_at(), Some(deadline));
+        prop_assert_eq!(timer.expired(deadline), Verdict::ReadOn);
+        prop_assert_eq!(timer.expired(deadline + LAST_READ_US), Verdict::Overdue);
+    }
 }
--- a/src/node/counters.rs
+++ b/src/node/counters.rs
@@ -50,7 +50,7 @@
     streams_cut,
     /// Streams that were ended here because no event arrived in time behind the last one. They count as broken, too.
     streams_silent,
-    /// Streams that were ended here because the first event was not whole in time. They count as broken, too.
+    /// Streams that were ended here because the first event, or an answer in one piece, was not whole in time. They count as broken, too.
     streams_overdue,
     /// Streams that were ended here because they were not valid. They count as broken, too.
     streams_malformed,
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -391,7 +391,7 @@
             // An answer in one piece does not show the time to first token.
             handle.first_token(attempt, host, started_at.elapsed().as_micros() as Micros);
         }
-        events.bound_first_event(deadline);
+        events.bound_final_answer(deadline, is_unary);
         let (client, stream) = answer_stream(relay::MAX_WAITING_CHUNKS);
         let form = events.head().clone();
         let relay_end = if is_settled || !responder.answer(Answer::Events { form, stream }) {
--- a/src/node/upstream/events.rs
+++ b/src/node/upstream/events.rs
@@ -29,8 +29,8 @@
     /// The instance sent no event in time.
     #[error("no event arrived in time")]
     Silent,
-    /// The client stopped waiting before its first event was whole.
-    #[error("the first event was not whole in time")]
+    /// The client stopped waiting before its first event, or its answer in one piece, was whole.
+    #[error("the first event or the whole answer was not there in time")]
     Overdue,
     /// The bytes are not a valid event stream.
     #[error("the stream is not a valid event stream")]
@@ -80,6 +80,7 @@
     /// Events that were received by [`EventStream::wait_for_first`] and not yet returned.
     first_events: Option<Bytes>,
     framer: Option<Framer>,
+    is_chat: bool,
     progress: StreamProgress,
     timer: AnswerTimer,
     /// Origin of the times that the timer is told.
@@ -106,6 +107,7 @@
             head,
             first_events: None,
             framer,
+            is_chat,
             progress,
             timer: AnswerTimer::default(),
             started_at: now,
@@ -115,7 +117,7 @@
 
     /// Waits for the first whole event. Fails if the answer breaks, ends, is malformed or reports an error before it; nothing of
     /// it may be forwarded then. Of an event that is too long to be held, it waits for as much as can be held: forwarding has
-    /// to begin, and [`EventStream::bound_first_event`] bounds the rest.
+    /// to begin, and [`EventStream::bound_final_answer`] bounds the rest.
     pub async fn wait_for_first(&mut self) -> Result<(), Outcome> {
         let mut held = BytesMut::new();
         loop {
@@ -145,10 +147,16 @@
         self.framer.as_ref().is_some_and(Framer::is_within_event)
     }
 
-    /// Sets until when the first event has to be whole, where forwarding begins before it is.
-    pub fn bound_first_event(&mut self, deadline: Instant) {
+    /// Sets until when the client waits for its final answer, once forwarding begins: for the first event, where only a part of
+    /// it has arrived, or for the end of an answer that the client gets in one piece.
+    pub fn bound_final_answer(&mut self, deadline: Instant, is_unary: bool) {
         let deadline = deadline.saturating_duration_since(self.started_at).as_micros() as Micros;
-        self.timer.bound_first_event(deadline);
+        // A server of the chat protocol may answer in one piece though events were asked for.
+        if is_unary || self.is_chat && self.framer.is_none() {
+            self.timer.bound_end(deadline);
+        } else {
+            self.timer.bound_first_event(deadline);
+        }
     }
 
     /// Returns status and content type of the answer.
--- a/tests/slow_servers.rs
+++ b/tests/slow_servers.rs
@@ -103,6 +103,19 @@
     run(STREAMING_FRONTS.into_iter().flat_map(|front| ways.map(|way| play(front, way))).collect());
 }
 
+/// Guards against an answer in one piece whose first byte stops the deadline.
+#[test]
+fn an_answer_in_one_piece_is_whole_or_final_by_the_client_s_time() {
+    let ways = [
+        Slowness::BeforeHead(ms(20_000)),
+        Slowness::BeforeFirstEvent(ms(20_000)),
+        Slowness::WithinFirstEvent(600, ms(100)),
+        Slowness::WithinFirstEvent(600, ms(900)),
+        Slowness::StopsBehindEvent,
+    ];
+    run(ways.map(|way| play(Front::ChatWhole, way)).to_vec());
+}
+
 /// Guards against an answer that waits for a server which still reads its request.
 #[test]
 fn an_answer_comes_in_time_where_servers_read_the_request_slowly() {
