Call discovery beside a watch whose line does not end

Seen in a test: a drain that an open watch tells byte by byte stays unheard, and requests go there 7 s later.

Change: where no line ends for as long as a silent watch is given, discovery is called beside the open watch, which stays.

Measured: tests/lists a_watch_whose_line_comes_byte_by_byte_* failed before ('2 still send after 7s') and passes at 2 to 1,024 conductors, agent and shared service; the other eleven tests pass.

--- a/src/node/list/discovery.rs
+++ b/src/node/list/discovery.rs
@@ -44,6 +44,9 @@
     /// Nothing arrived within the timeout.
     #[error("silent")]
     Silent,
+    /// Bytes arrive, and the line that they belong to does not end in time.
+    #[error("a line does not end")]
+    SlowLine,
     /// The response body ended.
     #[error("stream ended")]
     Ended,
@@ -63,6 +66,10 @@
     decoder: ListDecoder,
     opened_at: Instant,
     last_bytes_at: Instant,
+    /// When the last line ended.
+    last_line_at: Instant,
+    /// Whether the current line took so long that discovery is called beside this watch.
+    is_overtaken: bool,
     /// Whether the watch has delivered a list.
     has_list: bool,
 }
@@ -103,7 +110,7 @@
     pub async fn run(mut self, mut address: watch::Receiver<SocketAddr>) {
         self.schedule_call(CallReason::Start, Instant::now());
         loop {
-            let silence = self.schedule.watch_timeout();
+            let timeouts = (self.schedule.watch_timeout(), self.schedule.line_timeout());
             tokio::select! {
                 biased;
                 Ok(()) = address.changed() => {
@@ -113,7 +120,7 @@
                     self.schedule.reset();
                     self.schedule_call(CallReason::AddressChanged, Instant::now());
                 }
-                chunk = next_chunk(&mut self.watch, silence) => self.handle_chunk(chunk),
+                chunk = next_chunk(&mut self.watch, timeouts) => self.handle_chunk(chunk),
                 Some(result) = self.calls.join_next() => match result {
                     Ok(Ok(response)) => self.handle_response(response),
                     Ok(Err(error)) => self.handle_failed_call(&error),
@@ -165,6 +172,8 @@
                     decoder: ListDecoder::default(),
                     opened_at: now,
                     last_bytes_at: now,
+                    last_line_at: now,
+                    is_overtaken: false,
                     has_list: false,
                 });
                 self.handle_chunk(Ok(Some(first_bytes)));
@@ -217,6 +226,13 @@
             Ok(None) => WatchError::Ended,
             Err(error) => error,
         };
+        if let (WatchError::SlowLine, Some(watch)) = (&error, &mut self.watch) {
+            // The watch stays: what is called beside it may be as slow.
+            watch.is_overtaken = true;
+            let last_line_at = watch.last_line_at;
+            let delay = self.schedule_call(CallReason::WatchLost, last_line_at);
+            return self.report_unavailable(&error, delay);
+        }
         let Some(lost) = self.watch.take() else { return };
         let is_silent = matches!(error, WatchError::Silent);
         let delay = self.schedule_call(
@@ -229,6 +245,12 @@
     fn decode_chunk(&mut self, chunk: &[u8]) -> Result<(), WatchError> {
         let Some(mut watch) = self.watch.take() else { return Ok(()) };
         watch.last_bytes_at = Instant::now();
+        if chunk.contains(&b'\n') {
+            watch.last_line_at = watch.last_bytes_at;
+            if std::mem::take(&mut watch.is_overtaken) {
+                (self.calls, self.next_call_at) = (JoinSet::new(), None);
+            }
+        }
         watch.decoder.push(chunk);
         let mut applied = Ok(());
         while let (Ok(()), Some(parsed)) = (&applied, watch.decoder.next_list()) {
@@ -316,11 +338,18 @@
     timeout(response_timeout, exchange).await.unwrap_or(Err(WatchError::Silent))
 }
 
-/// Returns the next bytes of a watch, or none at its end; without a watch it never returns. Bytes that have arrived are read
-/// before the timeout is checked, also when this process was not scheduled for a long time.
-async fn next_chunk(watch: &mut Option<Watch>, silence: Duration) -> Result<Option<Bytes>, WatchError> {
+/// Returns the next bytes of a watch, or none at its end; without a watch it never returns. Fails when nothing arrived for the
+/// first of the timeouts, and once when no line ended within the second. Bytes that have arrived are read before the timeouts
+/// are checked, also when this process was not scheduled for a long time.
+async fn next_chunk(
+    watch: &mut Option<Watch>, (silence, line): (Duration, Duration),
+) -> Result<Option<Bytes>, WatchError> {
     let Some(watch) = watch else { return std::future::pending().await };
-    match timeout_at(watch.last_bytes_at + silence, watch.body.frame()).await {
+    let silent_at = watch.last_bytes_at + silence;
+    let line_due_at = (!watch.is_overtaken).then(|| watch.last_line_at + line);
+    let due_at = line_due_at.map_or(silent_at, |line_due_at| line_due_at.min(silent_at));
+    match timeout_at(due_at, watch.body.frame()).await {
+        Err(_) if due_at < silent_at => Err(WatchError::SlowLine),
         Err(_) => Err(WatchError::Silent),
         Ok(None) => Ok(None),
         Ok(Some(frame)) => Ok(Some(frame?.into_data().unwrap_or_default())),
--- a/src/node/list/pace.rs
+++ b/src/node/list/pace.rs
@@ -92,6 +92,12 @@
         WATCH_LINE_INTERVAL + self.agent_step.unwrap_or(SHARED_LINE_TOLERANCE)
     }
 
+    /// Returns the time without the end of a line after which discovery is called beside an open watch, however many bytes of
+    /// the line arrive: a change in it counts as announced at [`ANNOUNCEMENT_DELAY`] after discovery had it.
+    pub fn line_timeout(&self) -> Duration {
+        self.watch_timeout()
+    }
+
     /// Counts a call and returns its timeouts.
     pub fn next_timeouts(&mut self) -> CallTimeouts {
         self.call_count = self.call_count.wrapping_add(1);
--- a/tests/lists.rs
+++ b/tests/lists.rs
@@ -43,7 +43,9 @@
     down: bool,
     /// Watches opened before the last change of this say nothing more.
     silenced: u32,
-    /// The same, and their connections end.
+    /// Watches opened before the last change of this write a line byte by byte from then on.
+    slowed: u32,
+    /// Watches opened before the last change of this end.
     cut: u32,
     fate: Fate,
 }
@@ -66,6 +68,9 @@
 
 type Calls = Rc<RefCell<Vec<Instant>>>;
 
+/// Shorter than any silence that loses a watch.
+const BETWEEN_SLOW_BYTES: Duration = Duration::from_millis(500);
+
 fn line(world: &World, full: bool) -> String {
     let state = if world.draining { "Terminating" } else { "Ready" };
     let entry = format!(
@@ -139,6 +144,13 @@
             return given_up(socket).await;
         }
         let text = if changed { line(&now, false) } else { "\n".into() };
+        if now.slowed != begun.slowed {
+            for byte in text.trim_end().chars() {
+                sleep(BETWEEN_SLOW_BYTES).await;
+                socket.write_all(chunk(&byte.to_string()).as_bytes()).await?;
+            }
+            return given_up(socket).await;
+        }
         socket.write_all(chunk(&text).as_bytes()).await?;
     }
 }
@@ -327,6 +339,22 @@
     });
 }
 
+/// Guards against a watch that counts as heard with each byte of a line that does not end.
+#[test]
+fn a_watch_whose_line_comes_byte_by_byte_costs_no_drain_its_deadline() {
+    at_each_size(async |conductors| {
+        for asked in [false, true] {
+            let scene = Scene::open(conductors, asked).await;
+            sleep(Duration::from_millis(700)).await;
+            let slow = scene.now(|w| (w.slowed, w.draining, w.version) = (w.slowed + 1, true, 2));
+            scene.drained(slow, TOLD_AFTER + GRACE).await;
+            if asked {
+                assert!(scene.crowd(slow) <= crowd_most(conductors), "{} at once", scene.crowd(slow));
+            }
+        }
+    });
+}
+
 #[test]
 fn an_agent_back_after_an_outage_is_heard_within_the_grace() {
     at_each_size(async |conductors| {
