Bound the wait for a release before a read by the client's time

The wait of up to 0.25 s for an earlier release, before a prompt is read again, did not look at the deadline: the final answer could come as much later. It now ends when the request is overdue; the attempt then does not begin, and the planner gives the final answer. Found by reading; no play showed it.

--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -343,6 +343,8 @@
                 // The check before the first byte stops the attempt, and the departure is handled below.
                 () = responder.client_left() => {}
                 () = lease.prepare_read() => {}
+                // The attempt does not begin after its time, and the planner gives the final answer.
+                () = sleep_until(overdue_at) => {}
             }
         }
         let attempt_deadline = (started_at + to_duration(timeout)).min(deadline);
