Soak: slow servers and large prompts among the faults, and rules on streams

The soak's servers answered at one pace, so no history could show a client left waiting on a stream. The judge finds clients left waiting for over 5 s behind an event, streams that are cut sooner than 4.7 s behind one, and first events that are late.

--- a/rig/src/soak/deployment.rs
+++ b/rig/src/soak/deployment.rs
@@ -65,6 +65,7 @@
             first: Duration::from_millis(5),
             events: 4,
             goes_on: false,
+            slowness: None,
         };
         let class = |name: &str, effect, deadline| Class {
             name: name.into(),
@@ -99,6 +100,7 @@
                     first: Duration::from_millis(rng.random_range(4..=90)),
                     events: rng.random_range(2..=24),
                     goes_on: rng.random_bool(0.4),
+                    slowness: None,
                 });
             }
         }
@@ -123,6 +125,11 @@
         }
     }
 
+    /// Whether some of its servers are slow.
+    pub fn has_slow_servers(&self) -> bool {
+        self.servers.iter().any(|server| server.slowness.is_some())
+    }
+
     /// The soonest moment after SIGTERM at which the platform sends SIGKILL.
     pub fn soonest_kill(&self) -> Duration {
         let longest = self.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
--- a/rig/src/soak/judge/tests.rs
+++ b/rig/src/soak/judge/tests.rs
@@ -36,6 +36,7 @@
         sent,
         arrived: sent,
         ended: Some(ended),
+        events: Vec::new(),
         ran: role == Role::Write,
         told_ms: Some(1),
         connection: Connection::untroubled(ended),
@@ -151,3 +152,18 @@
     assert_eq!(history.known().len(), 1, "its conductor waited for the answer for a part of the time");
     assert!(history.findings().iter().all(|line| !line.contains("was held")));
 }
+
+/// A stream that ended so long behind the only event of its server.
+fn cut(behind_event: Micros) -> History {
+    let event = SENT + 50 * MS;
+    let mut attempts = served();
+    attempts[1].events = vec![event];
+    history(Asked { ended: event + behind_event, ..asked(UNSAFE, answer(200, false, 60 * MS)) }, attempts)
+}
+
+#[test]
+fn a_stream_is_cut_only_behind_a_silence_and_within_5_s() {
+    finds(&cut(4_650 * MS), "its answer was cut");
+    assert_eq!(cut(4_850 * MS).findings(), [""; 0]);
+    finds(&cut(5_100 * MS), "left waiting for 5100 ms");
+}
--- a/rig/src/soak/mod.rs
+++ b/rig/src/soak/mod.rs
@@ -10,3 +10,4 @@
 pub mod judge;
 pub mod network;
 pub mod servers;
+pub mod slowness;
--- a/rig/src/soak/servers/tests.rs
+++ b/rig/src/soak/servers/tests.rs
@@ -16,6 +16,7 @@
         sent: arrived,
         arrived,
         ended: None,
+        events: Vec::new(),
         ran: false,
         told_ms: Some(1),
         connection: Connection::opened_at(opened),
