Soak: what the network reads of an end later does not move that of a reset

Where the network reset a connection while bytes of its near side waited in it, the near side's end, read when these were lost, overwrote the moment of the reset.

Change: the first end stays.

--- a/rig/src/soak/network.rs
+++ b/rig/src/soak/network.rs
@@ -92,7 +92,7 @@
     pub plan: Option<Plan>,
     /// When who connected opened it.
     pub opened: Micros,
-    /// When who connected ended it; 0 while it has not.
+    /// When it first ended for who connected, by its own close or by a reset of the network; 0 while it has not.
     near_ended: AtomicU64,
     /// When the link read the last byte from who connected; 0 before the first. It may have been written long before: a link reads
     /// nothing while it passes no new connections on.
@@ -104,7 +104,7 @@
 }
 
 impl Connection {
-    /// When who connected ended it.
+    /// When it ended for who connected. What the network reads of an end later changes nothing.
     pub fn near_ended(&self) -> Option<Micros> {
         Some(self.near_ended.load(Ordering::Relaxed)).filter(|&at| at > 0)
     }
@@ -145,6 +145,10 @@
         Arc::new(Connection { opened, ..Connection::default() })
     }
 
+    fn end_near(&self, now: Micros) {
+        let _ = self.near_ended.compare_exchange(0, now, Ordering::Relaxed, Ordering::Relaxed);
+    }
+
     fn disturb(&self) {
         self.disturbed.store(true, Ordering::Relaxed);
     }
@@ -285,9 +289,10 @@
         let (mut seen, mut in_pieces, mut lost, mut keeps_end) = (0, false, false, false);
         loop {
             let read = from.read(&mut buffer).await.unwrap_or(0);
-            if way == Way::Up {
-                let at = if read == 0 { &connection.near_ended } else { &connection.last_up };
-                at.store(clock.now(), Ordering::Relaxed);
+            match (way, read) {
+                (Way::Up, 0) => connection.end_near(clock.now()),
+                (Way::Up, _) => connection.last_up.store(clock.now(), Ordering::Relaxed),
+                (Way::Down, _) => {}
             }
             if read == 0 {
                 break;
@@ -307,7 +312,7 @@
                     Trouble::Silence => lost = true,
                     Trouble::Pause(pause) => tokio::time::sleep(pause).await,
                     Trouble::Reset => {
-                        connection.near_ended.store(clock.now(), Ordering::Relaxed);
+                        connection.end_near(clock.now());
                         return reset(&from, &to);
                     }
                     Trouble::HalfClose => {
@@ -356,3 +361,6 @@
     let _ = rustix::net::connect_unspec(from.as_ref());
     let _ = rustix::net::connect_unspec(to.as_ref());
 }
+
+#[cfg(test)]
+mod tests;
