--- a/rig/src/soak/clients.rs
+++ b/rig/src/soak/clients.rs
@@ -10,7 +10,7 @@
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use super::deployment::{Class, Deployment};
-use super::network::{Connection, Link};
+use super::network::{Connection, Link, Trouble};
 use crate::{Clock, Micros};
 
 /// Beyond its patience, for which a client still reads: an answer that comes so late is told from none.
@@ -270,6 +270,11 @@
     }
 }
 
+fn passes_in_pieces(asked: &Asked) -> bool {
+    let plan = asked.connection.as_ref().and_then(|connection| connection.plan);
+    plan.is_some_and(|plan| plan.trouble == Trouble::Pieces)
+}
+
 /// Whether an answer is there as far as its client waits for it: its head, and of a stream the first whole event.
 fn has_begun(bytes: &[u8]) -> bool {
     let text = String::from_utf8_lossy(bytes);
--- a/rig/src/soak/judge/tests.rs
+++ b/rig/src/soak/judge/tests.rs
@@ -33,6 +33,7 @@
         at: "w1".into(),
         role,
         from: 0,
+        begun: sent,
         sent,
         arrived: sent,
         ended: Some(ended),
--- a/rig/src/soak/network.rs
+++ b/rig/src/soak/network.rs
@@ -97,6 +97,10 @@
     /// When the link read the last byte from who connected; 0 before the first. It may have been written long before: a link reads
     /// nothing while it passes no new connections on.
     last_up: AtomicU64,
+    /// When the link read the first byte of the request that is on its way, or of the last one.
+    request_begun: AtomicU64,
+    /// Bytes have gone back since: what comes next begins a request.
+    answered: AtomicBool,
     /// Something other than passing has happened to its bytes.
     disturbed: AtomicBool,
     /// The far side has taken it.
@@ -114,6 +118,20 @@
         self.last_up.load(Ordering::Relaxed)
     }
 
+    /// When the link read the first byte of the request that is on its way, or of the last one: each connection carries one at a
+    /// time.
+    pub fn request_begun(&self) -> Micros {
+        self.request_begun.load(Ordering::Relaxed)
+    }
+
+    fn note_up(&self, now: Micros) {
+        let begins = self.answered.swap(false, Ordering::Relaxed) || self.last_up() == 0;
+        if begins {
+            self.request_begun.store(now, Ordering::Relaxed);
+        }
+        self.last_up.store(now, Ordering::Relaxed);
+    }
+
     /// Whether the network did anything to it but pass its bytes on.
     pub fn disturbed(&self) -> bool {
         self.disturbed.load(Ordering::Relaxed)
@@ -291,8 +309,8 @@
             let read = from.read(&mut buffer).await.unwrap_or(0);
             match (way, read) {
                 (Way::Up, 0) => connection.end_near(clock.now()),
-                (Way::Up, _) => connection.last_up.store(clock.now(), Ordering::Relaxed),
-                (Way::Down, _) => {}
+                (Way::Up, _) => connection.note_up(clock.now()),
+                (Way::Down, _) => connection.answered.store(true, Ordering::Relaxed),
             }
             if read == 0 {
                 break;
--- a/rig/src/soak/servers.rs
+++ b/rig/src/soak/servers.rs
@@ -61,7 +61,9 @@
     pub role: Role,
     /// The conductor that sent it.
     pub from: usize,
-    /// When its last byte was sent, and when it arrived.
+    /// When its first byte was sent.
+    pub begun: Micros,
+    /// When its last byte was sent.
     pub sent: Micros,
     /// When it arrived.
     pub arrived: Micros,
@@ -359,12 +361,14 @@
         };
         let role = self.manner.role;
         let number = self.record.look(|seen, arrived| {
-            let (id, at, sent) = (id.clone(), self.id.clone(), connection.last_up());
+            let (id, at) = (id.clone(), self.id.clone());
+            let (begun, sent) = (connection.request_begun(), connection.last_up());
             let attempt = Attempt {
                 id,
                 at,
                 role,
                 from,
+                begun,
                 sent,
                 arrived,
                 ended: None,
--- a/rig/src/soak/servers/tests.rs
+++ b/rig/src/soak/servers/tests.rs
@@ -13,6 +13,7 @@
         at: "r1".into(),
         role: Role::Read,
         from,
+        begun: arrived,
         sent: arrived,
         arrived,
         ended: None,
