Soak: a connection that is over is not known by its address any more

Cause: servers find the connection by the address that it comes from. The system gives that address to a later connection, and until the network had noted the later one, servers found the earlier.

Change: the network forgets the address when a connection is over or reset.

Measured: the test failed before and passes.

--- a/rig/src/soak/network.rs
+++ b/rig/src/soak/network.rs
@@ -264,8 +264,16 @@
         }
         let ((near_in, near_out), (far_in, far_out)) = (near.into_split(), far.into_split());
         let up = self.clone().relay(near_in, far_out, Way::Up, connection.clone(), clock);
-        let down = self.clone().relay(far_in, near_out, Way::Down, connection, clock);
+        let down = self.clone().relay(far_in, near_out, Way::Down, connection.clone(), clock);
         tokio::join!(up, down);
+        self.forget_far_address(&connection);
+    }
+
+    /// Forgets the address by which the far side knows a connection that is over: the system may give it to another one.
+    fn forget_far_address(&self, connection: &Arc<Connection>) {
+        for known in self.known().iter_mut().filter(|known| Arc::ptr_eq(&known.connection, connection)) {
+            known.far = None;
+        }
     }
 
     fn passing(&self, connection: &Connection, way: Way) -> Passing {
@@ -331,6 +339,7 @@
                     Trouble::Pause(pause) => tokio::time::sleep(pause).await,
                     Trouble::Reset => {
                         connection.end_near(clock.now());
+                        self.forget_far_address(&connection);
                         return reset(&from, &to);
                     }
                     Trouble::HalfClose => {
--- a/rig/src/soak/network/tests.rs
+++ b/rig/src/soak/network/tests.rs
@@ -25,3 +25,19 @@
     assert_eq!(connection.near_ended(), Some(ended));
     Ok(())
 }
+
+/// The system gives the address of a connection that is over to another one, which the far side must not take for the first.
+#[tokio::test]
+async fn a_connection_that_is_over_is_not_known_by_its_address() -> std::io::Result<()> {
+    let far = TcpListener::bind("127.0.0.1:0").await?;
+    let link = Link::to(far.local_addr()?, Clock::default(), Arc::new(|_| None)).await?;
+    let mut near = TcpStream::connect(link.address).await?;
+    near.write_all(b"1").await?;
+    let (mut server, from) = far.accept().await?;
+    server.read_u8().await?;
+    assert!(link.connection(from).is_some());
+    drop((near, server));
+    tokio::time::sleep(WHILE).await;
+    assert!(link.connection(from).is_none());
+    Ok(())
+}
