Release at a stream's end what a given-up read may have left beside it

A read of a large prompt was given up and arrived at its slow reader 0.9 s later, beside the running stream of the same request, whose state another reader had; the stream ended 3.4 s later, and no release followed.

Cause: a writer's call that has arrived keeps the states of its request from releases. Those that were sent for the given-up read while the stream ran did nothing, and their window was over before the stream was.

Change: the lease remembers that a read had an unknown end, and releases once more when the request is over.

--- a/src/logic/lease.rs
+++ b/src/logic/lease.rs
@@ -61,6 +61,10 @@
     silent_connections: usize,
     /// When the latest confirmed release was sent.
     released_at: Option<Micros>,
+    /// A read had an unknown outcome.
+    has_unknown_read: bool,
+    /// The stream of the answer has started.
+    is_streaming: bool,
 }
 
 impl Lease {
@@ -78,6 +82,8 @@
             repeat_release_at: None,
             silent_connections: 0,
             released_at: None,
+            has_unknown_read: false,
+            is_streaming: false,
         }
     }
 
@@ -107,6 +113,7 @@
                 // A server may learn of a closed connection after the release, so one more release follows.
                 let read_overrun = if was_read { self.read_overrun() } else { self.period / 2 };
                 self.mark_unknown(now, now + read_overrun);
+                self.has_unknown_read |= was_read;
                 if was_read {
                     self.release_requested_at = Some(now);
                 } else {
@@ -142,11 +149,14 @@
     /// Records that the stream started: its writer has fetched the state.
     pub fn stream_started(&mut self) {
         (self.is_read_out, self.ready_since, self.is_write_out) = (false, None, false);
+        self.is_streaming = true;
     }
 
     /// Requests the release of what is held now.
     pub fn request_release(&mut self, now: Micros) {
-        if self.is_read_out || self.ready_since.is_some() {
+        // While the stream ran, its writer's call kept what a late read left from the releases that were sent.
+        let may_be_left_beside_stream = self.is_streaming && self.has_unknown_read;
+        if self.is_read_out || self.ready_since.is_some() || may_be_left_beside_stream {
             self.release_requested_at = Some(now);
         }
     }
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -99,6 +99,26 @@
     assert_eq!(lease.next_release_at(), Some(3 * PERIOD));
 }
 
+/// Guards against a state that a given-up read leaves while another reader's state is streamed: releases do not reach it then.
+#[test]
+fn a_read_that_arrives_beside_the_stream_is_released_at_its_end() {
+    let mut lease = Lease::new(PIN_LIMIT);
+    lease.read_sent();
+    lease.attempt_ended(10, AttemptEnd::Unknown);
+    lease.release_confirmed(10);
+    read(&mut lease, 20);
+    lease.write_sent();
+    lease.stream_started();
+    while let Some(at) = lease.next_release_at() {
+        lease.release_confirmed(at);
+    }
+    let stream_ended = 20 * PERIOD;
+    lease.request_release(stream_ended);
+    assert_eq!(lease.next_release_at(), Some(stream_ended));
+    lease.release_confirmed(stream_ended);
+    assert!(lease.is_settled());
+}
+
 #[test]
 fn a_release_counts_from_its_sending() {
     let mut lease = Lease::new(PIN_LIMIT);
