--- a/rig/src/soak/judge/tests.rs
+++ b/rig/src/soak/judge/tests.rs
@@ -168,3 +168,16 @@
     assert_eq!(cut(4_850 * MS).findings(), [""; 0]);
     finds(&cut(5_100 * MS), "left waiting for 5100 ms");
 }
+
+#[test]
+fn a_stream_that_is_cut_by_the_next_kill_is_not_held_against_the_first() {
+    let mut history = cut(3_000 * MS);
+    let ended = history.asked[0].ended;
+    let killed_at =
+        |killed: Micros| Ending { at: 0, told: killed - 1_500 * MS, killed, back: killed + 400 * MS };
+    // It was sent when the process was back, and before that was seen.
+    history.endings = vec![killed_at(SENT - 300 * MS), killed_at(ended)];
+    assert_eq!(history.findings(), [""; 0]);
+    history.endings.pop();
+    finds(&history, "its answer was cut");
+}
