--- a/src/logic/answer_timer.rs
+++ b/src/logic/answer_timer.rs
@@ -1,12 +1,15 @@
-//! Decides until when a running answer of an instance is waited for. No I/O: the caller tells what arrived and when.
+//! Decides until when a running answer of an instance is waited for. No I/O: the caller tells what arrived
+//! and when.
 //!
-//! The protocol page lets a client be left waiting for less than 5 s after a running instance's last event. So the wait for the
-//! next event starts with a whole event, and only the next whole event starts it anew: a part of an event, a comment or an empty
-//! line shows that bytes arrive, and the client has nothing of them. The wait stands still while nothing is read from the
-//! instance, because the client has not taken what it was sent before.
+//! The protocol page lets a client be left waiting for less than 5 s after a running instance's last event.
+//! So the wait for the next event starts with a whole event, and only the next whole event starts it anew:
+//! a part of an event, a comment or an empty line shows that bytes arrive, and the client has nothing of
+//! them. The wait stands still while nothing is read from the instance, because the client has not taken
+//! what it was sent before.
 //!
-//! The wait for the first event starts with the client's request. Nothing starts it anew: neither the head of the answer, nor
-//! comments, nor a part of the first event. The same holds for the end of an answer that its client gets in one piece.
+//! The wait for the first event starts with the client's request. Nothing starts it anew: neither the head
+//! of the answer, nor comments, nor a part of the first event. The same holds for the end of an answer that
+//! its client gets in one piece.
 
 use crate::api::Micros;
 
@@ -33,8 +36,8 @@
 /// What is waited for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Awaited {
-    /// The first event: until the client stops waiting for it, or where nothing of it is forwarded yet, for as long as the
-    /// attempt may take.
+    /// The first event: until the client stops waiting for it, or where nothing of it is forwarded yet, for
+    /// as long as the attempt may take.
     FirstEvent { deadline: Option<Micros> },
     /// The next event; the latest one arrived at this time, shifted by the time in which nothing was read.
     NextEvent { since: Micros },
@@ -66,8 +69,8 @@
         }
     }
 
-    /// Sets until when the first event has to be whole: a part of it is forwarded, so that no other attempt can follow. Changes
-    /// nothing once it is.
+    /// Sets until when the first event has to be whole: a part of it is forwarded, so that no other attempt
+    /// can follow. Changes nothing once it is.
     pub fn bound_first_event(&mut self, until: Micros) {
         if let Awaited::FirstEvent { deadline } = &mut self.awaited {
             *deadline = Some(until);
@@ -79,7 +82,8 @@
         (self.awaited, self.read_until) = (Awaited::End { deadline }, None);
     }
 
-    /// Records that nothing is read until [`AnswerTimer::resume`]: the client has to take what it was sent first.
+    /// Records that nothing is read until [`AnswerTimer::resume`]: the client has to take what it was sent
+    /// first.
     pub fn pause(&mut self, now: Micros) {
         self.paused_at = Some(now);
     }
@@ -114,6 +118,3 @@
         }
     }
 }
-
-#[cfg(test)]
-mod tests;
--- a/src/logic/lease.rs
+++ b/src/logic/lease.rs
@@ -154,7 +154,7 @@
 
     /// Requests the release of what is held now.
     pub fn request_release(&mut self, now: Micros) {
-        // While the stream ran, its writer's call kept what a late read left from the releases that were sent.
+        // While the stream ran, its writer's call kept what a late read left from releases.
         let may_be_left_beside_stream = self.is_streaming && self.has_unknown_read;
         if self.is_read_out || self.ready_since.is_some() || may_be_left_beside_stream {
             self.release_requested_at = Some(now);
--- a/src/logic/answer_timer/tests.rs
+++ b/tests/answer_timer.rs
@@ -1,6 +1,11 @@
-use proptest::prelude::*;
+//! Until when a running answer is waited for, in virtual time: over what a server may send and when, stalls of the client and
+//! hold-ups of the process.
 
-use super::*;
+use croftsill::api::Micros;
+use croftsill::logic::answer_timer::{
+    AnswerTimer, HOLD_UP_US, LAST_READ_US, MAX_CLIENT_WAIT_US, MAX_EVENT_WAIT_US, Verdict,
+};
+use proptest::prelude::*;
 
 /// Something that happens to an answer.
 #[derive(Clone, Copy, Debug)]
