--- a/src/node/upstream/framer.rs
+++ b/src/node/upstream/framer.rs
@@ -162,9 +162,9 @@
     lines.any(|line| line == b"data" || line.starts_with(b"data:"))
 }
 
-/// Returns whether the byte is a control character that text does not contain.
+/// Returns whether the byte is a control character that text does not contain. JSON allows U+007F unescaped.
 fn is_control(byte: &u8) -> bool {
-    byte.is_ascii_control() && !matches!(byte, b'\n' | b'\r' | b'\t')
+    matches!(byte, 0..=0x1f) && !matches!(byte, b'\n' | b'\r' | b'\t')
 }
 
 #[cfg(test)]
--- a/src/node/upstream/framer/tests.rs
+++ b/src/node/upstream/framer/tests.rs
@@ -39,3 +39,32 @@
     assert!(!endless(MAX_EVENT_BYTES - 8_000));
     assert!(endless(MAX_EVENT_BYTES + 8_000));
 }
+
+proptest! {
+    /// Guards against characters that JSON allows in a string, among them U+007F, and that count as noise; and against events that
+    /// are told by where the transport cuts them, or are taken for comments.
+    #[test]
+    fn events_are_told_from_comments_whatever_they_hold_and_however_they_are_cut(
+        blocks in prop::collection::vec((any::<bool>(), "[^\\p{Cc}\"\\\\\u{feff}]{0,12}\u{7f}?"), 1..8),
+        lengths in prop::collection::vec(1_usize..40, 1..5),
+    ) {
+        let (mut text, mut ends) = (String::new(), Vec::new());
+        for (is_event, content) in &blocks {
+            text += &if *is_event { format!("data: {{\"a\":\"{content}\"}}\n\n") } else { format!(": data: {content}\n\n") };
+            if *is_event {
+                ends.push(text.len());
+            }
+        }
+        let (mut framer, mut received, mut told) = (Framer::default(), 0, Vec::new());
+        let mut cuts = lengths.iter().cycle();
+        while received < text.len() {
+            let until = (received + cuts.next().expect("a length")).min(text.len());
+            let piece = Bytes::copy_from_slice(&text.as_bytes()[received..until]);
+            let completes_event = framer.push(piece).expect("events").completes_event;
+            let is_due = ends.iter().any(|&end| (received + 1..=until).contains(&end));
+            told.push((completes_event, is_due));
+            received = until;
+        }
+        prop_assert!(told.iter().all(|(told, due)| told == due), "{:?}", told);
+    }
+}
