Release once more at a stream's end only where no other release follows

Where the window of a given-up read is still open at the stream's end, the releases that follow reach what it left; the further one is for a window that was over before.

--- a/src/logic/lease.rs
+++ b/src/logic/lease.rs
@@ -154,8 +154,10 @@
 
     /// Requests the release of what is held now.
     pub fn request_release(&mut self, now: Micros) {
-        // While the stream ran, its writer's call kept what a late read left from releases.
-        let may_be_left_beside_stream = self.is_streaming && self.has_unknown_read;
+        // While the stream ran, its writer's call kept what a late read left from releases. Releases that are
+        // still to come reach it.
+        let may_be_left_beside_stream =
+            self.is_streaming && self.has_unknown_read && self.unknown_window.is_none();
         if self.is_read_out || self.ready_since.is_some() || may_be_left_beside_stream {
             self.release_requested_at = Some(now);
         }
