Follow how answers are framed, and log it where a stream breaks or its client leaves

What callers saw: nothing new. What was missing: in fifteen records of a left-waiting client no log line told who ended the stream, and none could tell what its chunks stated.

Change: upstream/answer_framing follows heads, stated lengths and chunks beside the HTTP library, without I/O, and is only told of here. stream: broken names the size that the latest chunk stated and how much of it came; a stream that its client ends has a line at info, one a second; an attempt whose answer could not be read has one as well.

--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -18,7 +18,8 @@
 use crate::api::{AttemptId, HostId, Load, Micros, NewRequest, Outcome};
 use crate::control::state::Revision;
 use crate::node::front::intake::connection::ConnectionState;
-use crate::node::upstream::attempt::{InitialResult, Payload};
+use crate::node::upstream::answer_framing::FramingProgress;
+use crate::node::upstream::attempt::{InitialResult, Payload, Upstream};
 use crate::node::upstream::events::{AnswerHead, StreamError, StreamProgress};
 use crate::node::upstream::lease_keeper::LeaseKeeper;
 use crate::node::upstream::pool::CloseGuard;
@@ -181,6 +182,23 @@
     }
 }
 
+/// Why a running stream ended before it was complete.
+#[derive(Clone, Copy)]
+enum EarlyEnd {
+    Broken(StreamError),
+    ClientLeft,
+}
+
+impl EarlyEnd {
+    /// Decides whether such an end is logged now. If so, returns how many were left out of the log before.
+    fn sample(self, upstream: &Upstream) -> Option<u64> {
+        match self {
+            EarlyEnd::Broken(_) => upstream.sample_broken_stream(),
+            EarlyEnd::ClientLeft => upstream.sample_left_stream(),
+        }
+    }
+}
+
 /// Logs the start and the end of one attempt.
 struct AttemptTrace<'a> {
     core: &'a Core,
@@ -208,7 +226,8 @@
         let AttemptTrace { core, request, number, instance, started_at, .. } = self;
         let (attempt, took_ms) = (number.0, started_at.elapsed().as_millis() as u64);
         tracing::debug!(%request, attempt, %instance, ?outcome, took_ms, "attempt: ended");
-        let is_unanswered = !self.is_answered && matches!(outcome, Outcome::TimedOut | Outcome::Broken);
+        let is_unanswered =
+            !self.is_answered && matches!(outcome, Outcome::TimedOut | Outcome::Broken | Outcome::Spoilt);
         if let Some(left_out) = is_unanswered.then(|| core.upstream.sample_unanswered()).flatten() {
             tracing::info!(%request, attempt, %instance, ?outcome, took_ms, left_out, "attempt: no answer");
         }
@@ -216,16 +235,26 @@
 }
 
 impl AttemptTrace<'_> {
-    /// Logs why a running stream broke, and when its last event and its last bytes arrived.
-    fn stream_broke(&self, error: StreamError, progress: StreamProgress) {
-        let Some(left_out) = self.core.upstream.sample_broken_stream() else { return };
+    /// Logs how far a running stream had come as it broke, or as its client left, and when its last event and its last bytes
+    /// arrived.
+    fn stream_ended_early(&self, end: EarlyEnd, progress: StreamProgress) {
+        let Some(left_out) = end.sample(&self.core.upstream) else { return };
         let AttemptTrace { request, number, instance, .. } = self;
         let (attempt, events) = (number.0, progress.events);
         let since_event_ms = progress.last_event_at.elapsed().as_millis() as u64;
         let since_bytes_ms = progress.last_bytes_at.elapsed().as_millis() as u64;
-        tracing::warn!(
-            %request, attempt, %instance, %error, events, since_event_ms, since_bytes_ms, left_out, "stream: broken"
-        );
+        let FramingProgress { chunk_stated, chunk_received, fault } = progress.framing;
+        let framing = fault.as_ref().map(tracing::field::display);
+        match end {
+            EarlyEnd::Broken(error) => tracing::warn!(
+                %request, attempt, %instance, %error, framing, events, since_event_ms, since_bytes_ms, chunk_stated,
+                chunk_received, left_out, "stream: broken"
+            ),
+            EarlyEnd::ClientLeft => tracing::info!(
+                %request, attempt, %instance, framing, events, since_event_ms, since_bytes_ms, chunk_stated,
+                chunk_received, left_out, "stream: its client left"
+            ),
+        }
     }
 }
 
@@ -408,8 +437,10 @@
                 }
             }
         };
-        if let RelayEnd::Broken(error) = relay_end {
-            trace.stream_broke(error, events.progress());
+        match relay_end {
+            RelayEnd::Broken(error) => trace.stream_ended_early(EarlyEnd::Broken(error), events.progress()),
+            RelayEnd::ClientLeft => trace.stream_ended_early(EarlyEnd::ClientLeft, events.progress()),
+            RelayEnd::Complete | RelayEnd::ErrorEvent | RelayEnd::Moved => {}
         }
         drop(events);
         client.finish(relay_end.stream_end());
--- a/src/node/upstream/attempt.rs
+++ b/src/node/upstream/attempt.rs
@@ -88,6 +88,7 @@
     counters: Rc<Counters>,
     unanswered_log: LogSampler,
     broken_stream_log: LogSampler,
+    left_stream_log: LogSampler,
 }
 
 #[derive(Deserialize)]
@@ -151,6 +152,7 @@
             counters,
             unanswered_log: LogSampler::default(),
             broken_stream_log: LogSampler::default(),
+            left_stream_log: LogSampler::default(),
         }
     }
 
@@ -176,6 +178,12 @@
         self.broken_stream_log.sample()
     }
 
+    /// Decides whether a stream whose client left is logged now. If so, returns how many were left out of the log since
+    /// the last one logged.
+    pub fn sample_left_stream(&self) -> Option<u64> {
+        self.left_stream_log.sample()
+    }
+
     /// Returns whether the host is a reader, at which an attempt may leave state. An unknown host counts as
     /// one.
     pub fn is_reader(&self, host: HostId) -> bool {
--- a/src/node/upstream/events.rs
+++ b/src/node/upstream/events.rs
@@ -13,6 +13,7 @@
 use tokio::time::error::Elapsed;
 use tokio::time::{Instant, timeout_at};
 
+use super::answer_framing::FramingProgress;
 use super::framer::{Forwardable, Framer, MAX_HELD_EVENT_BYTES, MalformedEvents};
 use super::pool::{Connection, Pool};
 use crate::api::{HostId, Micros, Outcome};
@@ -68,6 +69,8 @@
     pub last_event_at: Instant,
     /// When bytes of the answer last arrived.
     pub last_bytes_at: Instant,
+    /// How far the framing of the answer was followed.
+    pub framing: FramingProgress,
 }
 
 /// Answer of an instance while it is being received.
@@ -98,7 +101,8 @@
         let head = AnswerHead { status, content_type: headers.get(CONTENT_TYPE).cloned() };
         let framer = head.is_event_stream().then(|| Framer::new(is_chat));
         let (now, connection) = (Instant::now(), Some(connection));
-        let progress = StreamProgress { events: 0, last_event_at: now, last_bytes_at: now };
+        let framing = FramingProgress::default();
+        let progress = StreamProgress { events: 0, last_event_at: now, last_bytes_at: now, framing };
         EventStream {
             pool,
             host,
@@ -171,7 +175,8 @@
 
     /// Returns how far the answer has come.
     pub fn progress(&self) -> StreamProgress {
-        self.progress
+        let framing = self.connection.as_ref().map_or(self.progress.framing, Connection::framing_progress);
+        StreamProgress { framing, ..self.progress }
     }
 
     /// Returns the next whole events, byte for byte, or `None` after the end of a complete stream.
@@ -274,6 +279,7 @@
     /// Ends the stream with an error and closes its connection.
     fn fail(&mut self, error: StreamError) -> Option<Result<Bytes, StreamError>> {
         self.has_ended = true;
+        self.progress = self.progress();
         self.connection = None;
         Some(Err(error))
     }
--- a/src/node/upstream/pool.rs
+++ b/src/node/upstream/pool.rs
@@ -23,6 +23,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, sleep, timeout};
 
+use super::answer_framing::FramingProgress;
 use super::socket::{CheckedSocket, RequestBody, RequestSlot, SendCheck, WriteStatus};
 use crate::api::{HostId, Role};
 use crate::node::counters::{Counters, add};
@@ -171,6 +172,7 @@
             return;
         }
         self.0.set(self.0.get() + 1);
+        socket.stop_following();
         let mut discarded = [0; ABANDONED_READ_BYTES];
         let _ = timeout(ABANDONED_READ_TIMEOUT, async {
             let _ = socket.shutdown().await;
@@ -197,6 +199,11 @@
         &mut self.sender
     }
 
+    /// Returns how far the framing of the latest answer was followed.
+    pub fn framing_progress(&self) -> FramingProgress {
+        self.slot.framing_progress()
+    }
+
     /// Returns whether the connection was opened for the current request.
     pub fn is_new(&self) -> bool {
         self.is_new
--- a/src/node/upstream/socket.rs
+++ b/src/node/upstream/socket.rs
@@ -15,6 +15,7 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use super::answer_framing::{AnswerFraming, FramingProgress};
 use crate::node::request::ClientPresence;
 use crate::node::uninterrupted::RetryInterrupted;
 
@@ -118,6 +119,7 @@
     status: WriteStatus,
     check: Rc<RefCell<SendCheck>>,
     accepts_work: Rc<Cell<bool>>,
+    framing: Rc<RefCell<AnswerFraming>>,
 }
 
 impl CheckedSocket {
@@ -129,12 +131,18 @@
             status: WriteStatus::default(),
             check: Rc::default(),
             accepts_work,
+            framing: Rc::default(),
         }
     }
 
     /// Returns the slot through which the connection's requests are prepared.
     pub fn request_slot(&self) -> RequestSlot {
-        RequestSlot { status: self.status.clone(), check: self.check.clone() }
+        RequestSlot { status: self.status.clone(), check: self.check.clone(), framing: self.framing.clone() }
+    }
+
+    /// Stops following how answers are framed: nobody reads them.
+    pub fn stop_following(&self) {
+        self.framing.borrow_mut().stop();
     }
 
     /// Runs the pending check once, before the first byte of a request; fails if the request must not be
@@ -166,6 +174,7 @@
 pub struct RequestSlot {
     status: WriteStatus,
     check: Rc<RefCell<SendCheck>>,
+    framing: Rc<RefCell<AnswerFraming>>,
 }
 
 impl RequestSlot {
@@ -176,11 +185,17 @@
             if data.is_empty() { WriteProgress::BodilessUnwritten } else { WriteProgress::Incomplete };
         self.status.0.set(progress);
         self.check.replace(check);
+        self.framing.borrow_mut().expect_answer();
         (
             RequestBody { data: Some(data).filter(|data| !data.is_empty()), status: self.status.clone() },
             self.status.clone(),
         )
     }
+
+    /// Returns how far the framing of the latest answer was followed.
+    pub fn framing_progress(&self) -> FramingProgress {
+        self.framing.borrow().progress()
+    }
 }
 
 impl AsyncRead for CheckedSocket {
@@ -191,6 +206,8 @@
         let most = buf.remaining().min(MAX_READ_BYTES);
         let mut part = ReadBuf::uninit(&mut scratch[..most]);
         ready!(Pin::new(&mut self.socket).poll_read(cx, &mut part))?;
+        // The log tells what the framing was; the HTTP library judges it.
+        let _ = self.framing.borrow_mut().follow(part.filled(), &mut Vec::new());
         buf.put_slice(part.filled());
         Poll::Ready(Ok(()))
     }
