Rig: repeat a step of an answer in place of building endless ones in memory

Cause: each request built up to 40,000 steps, or 32 MB of noise, on the rig's two threads. Change: a step says how often it is taken.

--- a/rig/src/slow_servers/script.rs
+++ b/rig/src/slow_servers/script.rs
@@ -13,7 +13,7 @@
 /// Pause between two events of a server that is in no hurry and not slow.
 pub const USUAL_PAUSE: Duration = Duration::from_millis(20);
 /// How often a stream that never completes repeats its last step: longer than any client reads on.
-pub const ENDLESS_STEPS: usize = 40_000;
+pub const ENDLESS_STEPS: u32 = 40_000;
 /// The head of a usual stream.
 pub const STREAM_HEAD: &str =
     "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -71,6 +71,8 @@
     pub completes_event: bool,
     /// Whether these bytes spoil the answer.
     pub spoils: bool,
+    /// How often the step is taken.
+    pub times: u32,
 }
 
 /// An answer: its steps, and whether the last one completes it.
@@ -85,17 +87,23 @@
 impl Script {
     /// Adds bytes.
     pub fn push(&mut self, pause: Duration, bytes: impl Into<Vec<u8>>, completes_event: bool) {
-        self.steps.push(Step { pause, bytes: bytes.into(), completes_event, spoils: false });
+        self.steps.push(Step { pause, bytes: bytes.into(), completes_event, spoils: false, times: 1 });
+    }
+
+    /// Adds bytes that complete no event, so many times, with a pause before each.
+    pub fn push_repeated(&mut self, pause: Duration, bytes: impl Into<Vec<u8>>, times: u32) {
+        let (bytes, completes_event, spoils) = (bytes.into(), false, false);
+        self.steps.push(Step { pause, bytes, completes_event, spoils, times });
     }
 
     /// Adds bytes that spoil the answer.
     pub fn push_spoiling(&mut self, pause: Duration, bytes: impl Into<Vec<u8>>) {
-        self.steps.push(Step { pause, bytes: bytes.into(), completes_event: false, spoils: true });
+        self.steps.push(Step { pause, bytes: bytes.into(), completes_event: false, spoils: true, times: 1 });
     }
 
     /// Adds a chunk of the body.
     pub fn push_chunk(&mut self, pause: Duration, text: &str, completes_event: bool) {
-        self.push(pause, format!("{:x}\r\n{text}\r\n", text.len()), completes_event);
+        self.push(pause, chunk(text), completes_event);
     }
 
     /// Adds bytes one by one, with a pause before each.
@@ -115,6 +123,11 @@
     }
 }
 
+/// Returns the chunk of a body with this text.
+pub fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
 /// Returns an event of about so many bytes.
 pub fn event(bytes: usize) -> String {
     let start = "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"";
@@ -188,7 +201,7 @@
         }
         Slowness::EndlessEvent(interval) => {
             script.push_chunk(interval, "data: ", false);
-            (0..ENDLESS_STEPS).for_each(|_| script.push_chunk(interval, "x", false));
+            script.push_repeated(interval, chunk("x"), ENDLESS_STEPS);
             script.is_whole = false;
         }
         Slowness::CommentsBehindEvent(interval) => write_comments(script, interval),
@@ -197,7 +210,7 @@
 }
 
 fn write_comments(script: &mut Script, interval: Duration) {
-    (0..ENDLESS_STEPS).for_each(|_| script.push_chunk(interval, COMMENT, false));
+    script.push_repeated(interval, chunk(COMMENT), ENDLESS_STEPS);
     script.is_whole = false;
 }
 
@@ -219,7 +232,7 @@
     pub fn longest_wait_for_event(&self) -> Duration {
         let (mut longest, mut wait, mut has_begun) = (Duration::ZERO, Duration::ZERO, false);
         for step in &self.steps {
-            wait += step.pause;
+            wait += step.pause * step.times;
             if step.completes_event {
                 longest = if has_begun { longest.max(wait) } else { longest };
                 (wait, has_begun) = (Duration::ZERO, true);
--- a/rig/src/slow_servers/server.rs
+++ b/rig/src/slow_servers/server.rs
@@ -8,7 +8,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::sleep;
 
-use super::script::{Slowness, answer};
+use super::script::{Slowness, Step, answer};
 use super::unusual::Form;
 use crate::stand_ins::Role;
 use crate::{Clock, Micros};
@@ -178,16 +178,8 @@
         let number = self.record.arrived(request.header("request-id").unwrap_or_default(), self.role);
         let script = answer(self.role, self.manner.slowness, request.is_stream);
         for step in &script.steps {
-            if !step.pause.is_zero() && !self.stays_open(step.pause).await {
-                self.record.change(number, |attempt, now| attempt.closed = Some(now));
-                return None;
-            }
-            if step.spoils {
-                self.record.change(number, |attempt, now| attempt.spoilt = Some(now));
-            }
-            self.socket.write_all(&step.bytes).await.ok()?;
-            if step.completes_event {
-                self.record.change(number, |attempt, now| attempt.events.push(now));
+            for _ in 0..step.times {
+                self.take(step, number).await?;
             }
         }
         if !script.is_whole {
@@ -202,6 +194,22 @@
         (!ends_with_connection).then_some(())
     }
 
+    /// Takes one step of the answer to an attempt; none when the connection is over.
+    async fn take(&mut self, step: &Step, number: usize) -> Option<()> {
+        if !step.pause.is_zero() && !self.stays_open(step.pause).await {
+            self.record.change(number, |attempt, now| attempt.closed = Some(now));
+            return None;
+        }
+        if step.spoils {
+            self.record.change(number, |attempt, now| attempt.spoilt = Some(now));
+        }
+        self.socket.write_all(&step.bytes).await.ok()?;
+        if step.completes_event {
+            self.record.change(number, |attempt, now| attempt.events.push(now));
+        }
+        Some(())
+    }
+
     /// Waits; returns false as soon as the conductor closes the connection.
     async fn stays_open(&mut self, pause: Duration) -> bool {
         let mut byte = [0];
--- a/rig/src/slow_servers/spoilt.rs
+++ b/rig/src/slow_servers/spoilt.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 
 use super::script::{
-    COMMENT, ENDLESS_STEPS, EVENT_BYTES, READ_ANSWER_BODY, STREAM_HEAD, Script, USUAL_PAUSE, event,
+    COMMENT, ENDLESS_STEPS, EVENT_BYTES, READ_ANSWER_BODY, STREAM_HEAD, Script, USUAL_PAUSE, chunk, event,
 };
 
 /// Bytes of a piece of noise that is written without a pause, and how many of them.
 const NOISE_PIECE_BYTES: usize = 16 * 1024;
-const NOISE_PIECES: usize = 2_000;
+const NOISE_PIECES: u32 = 2_000;
 /// Noise that is no text.
 const NOISE_BYTE: u8 = 0xfe;
 /// A size of gigabytes, as the platform's page names it.
@@ -218,13 +218,13 @@
         ChunkFault::StatesWithNoise(size) => {
             script.push_spoiling(USUAL_PAUSE, format!("{size:x}\r\n"));
             let noise = "x".repeat(NOISE_PIECE_BYTES);
-            (0..NOISE_PIECES).for_each(|_| script.push(Duration::ZERO, noise.as_str(), false));
+            script.push_repeated(Duration::ZERO, noise, NOISE_PIECES);
         }
         ChunkFault::StatesMore(more) => {
             // What shows that the size is wrong is the end of the line in place of more data.
             script.push(USUAL_PAUSE, format!("{:x}\r\n{data}", length as u64 + more), true);
             script.push_spoiling(USUAL_PAUSE, "\r\n");
-            (0..ENDLESS_STEPS).for_each(|_| script.push_chunk(USUAL_PAUSE, data, false));
+            script.push_repeated(USUAL_PAUSE, chunk(data), ENDLESS_STEPS);
         }
         ChunkFault::StatesLess => {
             script.push_spoiling(USUAL_PAUSE, format!("{:x}\r\n{data}\r\n", length - 10));
@@ -254,7 +254,7 @@
 }
 
 fn repeat(script: &mut Script, interval: Duration, text: &str) {
-    (0..ENDLESS_STEPS).for_each(|_| script.push(interval, text, false));
+    script.push_repeated(interval, text, ENDLESS_STEPS);
 }
 
 /// Adds parts of a line without an end: byte by byte at an interval, or in large pieces as fast as they are read.
@@ -263,5 +263,5 @@
         return repeat(script, interval, text);
     }
     let piece = text.repeat(NOISE_PIECE_BYTES);
-    (0..NOISE_PIECES).for_each(|_| script.push(Duration::ZERO, piece.as_str(), false));
+    script.push_repeated(Duration::ZERO, piece, NOISE_PIECES);
 }
