End an answer at a chunk or length of gigabytes, in place of reading events in it

What callers saw: a server's stream with a chunk that stated 3 GB, and sound events in it, left its client waiting for as long as the events came.

Cause: hyper passes on what has come of a chunk, whatever size it states; each event in it started the wait for the next one anew. Nothing looked at the size.

Change: the socket rejects what answer_framing rejects, with the size's digits: chunks and lengths over 16 MiB (a body holds 256 KiB), size lines over 16 KiB, sizes that are no number. The HTTP library reports that as it does its own faults, so the answer is a failed attempt before its first event, and a broken stream behind it.

--- a/src/node/upstream/answer_framing.rs
+++ b/src/node/upstream/answer_framing.rs
@@ -1,5 +1,5 @@
 //! Follows how the bytes of an instance's answers are framed: heads, stated lengths and chunks (RFC 9112, sections 6
-//! and 7). Finds framing that no answer can keep to, which the HTTP library accepts: it passes on what has come of a
+//! and 7). Rejects framing that no answer can keep to, which the HTTP library accepts: it passes on what has come of a
 //! chunk, whatever size the chunk states. No I/O.
 
 use bytes::{BufMut, BytesMut};
--- a/src/node/upstream/socket.rs
+++ b/src/node/upstream/socket.rs
@@ -206,8 +206,8 @@
         let most = buf.remaining().min(MAX_READ_BYTES);
         let mut part = ReadBuf::uninit(&mut scratch[..most]);
         ready!(Pin::new(&mut self.socket).poll_read(cx, &mut part))?;
-        // The log tells what the framing was; the HTTP library judges it.
-        let _ = self.framing.borrow_mut().follow(part.filled(), &mut Vec::new());
+        let framed = self.framing.borrow_mut().follow(part.filled(), &mut Vec::new());
+        framed.map_err(|fault| io::Error::new(io::ErrorKind::InvalidData, fault))?;
         buf.put_slice(part.filled());
         Poll::Ready(Ok(()))
     }
