Take the size of a chunk among the events of a stream for what spoils it

Cause: the framer took any text up to an empty line for events; a size line among them counted as a field without a colon.

Change: a line of hexadecimal digits that ends with CR and LF, with or without an extension, is no event of a stream. Data, comments and named fields are told from it (tests).

Without the change the framer's new property test fails.

--- a/src/node/upstream/framer.rs
+++ b/src/node/upstream/framer.rs
@@ -9,6 +9,9 @@
 /// memory however large its events are.
 pub const MAX_HELD_EVENT_BYTES: usize = 4 * 1024;
 
+/// Most digits of a chunk's size.
+const MAX_CHUNK_SIZE_DIGITS: usize = 16;
+
 /// The received bytes are not an event stream.
 #[derive(Debug, thiserror::Error)]
 #[error("not an event stream")]
@@ -104,6 +107,9 @@
             Err(error) if error.error_len().is_none() => error.valid_up_to(),
             Err(_) => return Err(MalformedEvents),
         };
+        if has_chunk_size(event) {
+            return Err(MalformedEvents);
+        }
         if event.iter().any(is_control) || self.forwarded_bytes + event.len() > MAX_EVENT_BYTES {
             return Err(MalformedEvents);
         }
@@ -119,6 +125,9 @@
         if std::str::from_utf8(events).is_err() || events.iter().any(is_control) {
             return Err(MalformedEvents);
         }
+        if has_chunk_size(events) {
+            return Err(MalformedEvents);
+        }
         if self.is_chat {
             events.split(|&byte| byte == b'\n').for_each(|line| self.inspect_line(line.trim_ascii()));
         }
@@ -156,6 +165,21 @@
     (0..bytes.len()).rev().find(ends_empty_line).map_or(0, |index| index + 1)
 }
 
+/// Returns whether one of the lines that have ended is that of a chunk's size.
+fn has_chunk_size(text: &[u8]) -> bool {
+    let mut lines = text.split_inclusive(|&byte| byte == b'\n').filter_map(|line| line.strip_suffix(b"\n"));
+    lines.any(is_chunk_size)
+}
+
+/// Returns whether a line, up to its line feed, is that of a chunk's size: it stands among events where a chunk in front states
+/// more bytes than it has.
+fn is_chunk_size(line: &[u8]) -> bool {
+    let Some(text) = line.strip_suffix(b"\r") else { return false };
+    let digits = text.iter().take_while(|byte| byte.is_ascii_hexdigit()).count();
+    (1..=MAX_CHUNK_SIZE_DIGITS).contains(&digits)
+        && matches!(text.get(digits), None | Some(b';' | b' ' | b'\t'))
+}
+
 /// Returns whether one of the lines holds data.
 fn has_data_line(text: &[u8]) -> bool {
     let mut lines = text.split(|byte| b"\r\n".contains(byte));
--- a/src/node/upstream/framer/tests.rs
+++ b/src/node/upstream/framer/tests.rs
@@ -68,3 +68,38 @@
         prop_assert!(told.iter().all(|(told, due)| told == due), "{:?}", told);
     }
 }
+
+proptest! {
+    /// Guards against chunks that a larger size in front swallows, and whose sizes are passed on among the events.
+    #[test]
+    fn the_size_of_a_chunk_among_events_is_no_event(
+        contents in prop::collection::vec("[a-z0-9 ]{0,40}", 2..6), swallowed in 1_usize..5, extension in "(;[a-z]{0,5})?",
+        lengths in prop::collection::vec(1_usize..60, 1..5),
+    ) {
+        let mut text = String::new();
+        for (number, content) in contents.iter().enumerate() {
+            let event = format!("data: {{\"a\":\"{content}\"}}\n\n");
+            if number == swallowed.min(contents.len() - 1) {
+                text += &format!("\r\n{:x}{extension}\r\n", event.len());
+            }
+            text += &event;
+        }
+        prop_assert!(forward(text.as_bytes(), &lengths).is_err(), "{:?}", text);
+    }
+}
+
+/// Guards against data, comments and fields that are taken for the size of a chunk.
+#[test]
+fn lines_that_only_look_like_a_size_are_events() {
+    for text in [
+        "data: a\r\n: 5f\r\n\r\n",
+        "data: 5f\r\n\r\n",
+        "id: 5\r\ndata: a\r\n\r\n",
+        "data\r\n\r\n",
+        "event: add\r\ndata: f00\r\n\r\n",
+    ] {
+        for length in 1..text.len() {
+            assert!(forward(text.as_bytes(), &[length]).is_ok(), "{text:?}");
+        }
+    }
+}
