Leave out what stands behind the sizes of chunks: long answers arrive whole

What callers saw: a long answer whose chunks had extensions was cut, at once behind an event.

Cause: hyper allows 16 KiB of extensions in a whole answer, not in a chunk, and fails beyond.

A fault is told again with the next read, also where nothing more has come.

--- a/rig/src/slow_servers/unusual.rs
+++ b/rig/src/slow_servers/unusual.rs
@@ -142,7 +142,9 @@
         }
         Form::OneChunk(pause) => {
             script.push(USUAL_PAUSE, format!("{:x}\r\n", all.concat().len()), false);
-            all.into_iter().for_each(|event| script.push(pause, event, true));
+            for (number, event) in all.into_iter().enumerate() {
+                script.push(if number == 0 { USUAL_PAUSE } else { pause }, event, true);
+            }
         }
         Form::ManyEventsInChunk => script.push_chunk(USUAL_PAUSE, &all.concat(), true),
         Form::CrLfLines => {
--- a/src/node/upstream/socket.rs
+++ b/src/node/upstream/socket.rs
@@ -15,7 +15,7 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-use super::answer_framing::{AnswerFraming, FramingProgress};
+use super::answer_framing::{AnswerFraming, FramingFault, FramingProgress};
 use crate::node::request::ClientPresence;
 use crate::node::uninterrupted::RetryInterrupted;
 
@@ -198,18 +198,33 @@
     }
 }
 
+/// Returns the error that the HTTP library reports as a malformed answer.
+fn malformed_answer(fault: FramingFault) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, fault)
+}
+
 impl AsyncRead for CheckedSocket {
     fn poll_read(
         mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let mut scratch = [MaybeUninit::uninit(); MAX_READ_BYTES];
         let most = buf.remaining().min(MAX_READ_BYTES);
-        let mut part = ReadBuf::uninit(&mut scratch[..most]);
-        ready!(Pin::new(&mut self.socket).poll_read(cx, &mut part))?;
-        let framed = self.framing.borrow_mut().follow(part.filled(), &mut Vec::new());
-        framed.map_err(|fault| io::Error::new(io::ErrorKind::InvalidData, fault))?;
-        buf.put_slice(part.filled());
-        Poll::Ready(Ok(()))
+        let filled_before = buf.filled().len();
+        if let Some(fault) = self.framing.borrow().progress().fault {
+            return Poll::Ready(Err(malformed_answer(fault)));
+        }
+        loop {
+            let mut part = ReadBuf::uninit(&mut scratch[..most]);
+            ready!(Pin::new(&mut self.socket).poll_read(cx, &mut part))?;
+            let framed = self.framing.borrow_mut().follow(part.filled(), buf);
+            let has_output = buf.filled().len() > filled_before;
+            match framed {
+                Err(fault) if !has_output => return Poll::Ready(Err(malformed_answer(fault))),
+                // What is left out of an answer is no end of it.
+                Ok(()) if !has_output && !part.filled().is_empty() => {}
+                _ => return Poll::Ready(Ok(())),
+            }
+        }
     }
 }
 
