Soak: answers spoilt behind a head or a chunk, and the rule on what becomes of them

What was missing: the soak's network lost, held and reset bytes; it spoilt none.

The judge wants the client's connection ended within 5 s, and not as whole.

--- a/rig/src/soak/history.rs
+++ b/rig/src/soak/history.rs
@@ -18,6 +18,7 @@
 use super::judge::{Ending, History, Stop};
 use super::network::{Passing, Plan, Trouble, Way};
 use super::slowness::slow_down;
+use super::spoiling;
 use crate::Micros;
 use crate::stand_ins::HELD_MOST;
 
@@ -39,6 +40,10 @@
 const READY_MOST: Micros = 10_000_000;
 /// Part of the connections to servers that something befalls, and of clients' connections.
 const TROUBLED: (f64, f64) = (0.12, 0.04);
+/// Part of the other connections to servers on which an answer is spoilt.
+const SPOILT: f64 = 0.1;
+/// Sets the draws for spoilt answers apart from a history's others.
+const SPOILT_SEED: u64 = 0x7370_6f69;
 /// Timers that run later than this make a history worthless.
 const LATENESS_MOST: Micros = 250_000;
 
@@ -62,7 +67,7 @@
         let place = (conductor as u64) << 48 ^ (server.map_or(255, |server| server as u64)) << 32 ^ number;
         let mut rng = SmallRng::seed_from_u64(seed ^ place.wrapping_mul(0x9e37_79b9_7f4a_7c15));
         let share = if server.is_some() { TROUBLED.0 } else { TROUBLED.1 };
-        rng.random_bool(share).then(|| Plan {
+        let drawn = rng.random_bool(share).then(|| Plan {
             way: if rng.random_bool(0.5) { Way::Up } else { Way::Down },
             after: rng.random_range(0..1_400),
             trouble: match rng.random_range(0..8) {
@@ -73,10 +78,22 @@
                 6 => Trouble::Pieces,
                 _ => Trouble::KeepsEnd,
             },
+        });
+        drawn.or_else(|| {
+            server.and_then(|_| spoils(&mut SmallRng::seed_from_u64(rng.random::<u64>() ^ SPOILT_SEED)))
         })
     })
 }
 
+/// Draws whether an answer on a connection is spoilt, behind so many bytes that servers send.
+fn spoils(rng: &mut SmallRng) -> Option<Plan> {
+    rng.random_bool(SPOILT).then(|| Plan {
+        way: Way::Down,
+        after: rng.random_range(0..2_500),
+        trouble: Trouble::Spoils(spoiling::ALL[rng.random_range(0..spoiling::ALL.len())]),
+    })
+}
+
 /// Plays one history. The fleet is given back for its files.
 pub async fn play(program: &Path, seed: u64) -> std::io::Result<(Fleet, Outcome)> {
     let mut rng = SmallRng::seed_from_u64(seed);
--- a/rig/src/soak/judge.rs
+++ b/rig/src/soak/judge.rs
@@ -96,6 +96,7 @@
                 self.begun_after_leaving(asked, attempts),
                 self.told_too_much(asked, attempts),
                 self.left_waiting(asked, attempts),
+                self.left_open_though_spoilt(asked, attempts),
             ];
             let shown = |fault: String| format!("{} at conductor {}: {fault}", asked.id, asked.at);
             found.extend(faults.into_iter().flatten().map(shown));
@@ -165,6 +166,23 @@
         Some(format!("left waiting for {} ms behind an event of {}", longest / MS, attempt.at))
     }
 
+    /// A stream that is spoilt ends within 5 s, and not as a whole one.
+    fn left_open_though_spoilt(&self, asked: &Asked, attempts: &[&Attempt]) -> Option<String> {
+        asked.connection.as_ref().filter(|connection| !connection.disturbed())?;
+        let Got::Answer { status: 200, whole, .. } = asked.got else { return None };
+        let attempt = streamed(attempts)?;
+        // Nothing is asked on a connection behind an answer that was spoilt.
+        let is_last_on_connection = attempt.begun == attempt.connection.request_begun();
+        let spoilt =
+            attempt.connection.spoilt().filter(|&at| is_last_on_connection && at >= attempt.arrived)?;
+        if whole {
+            return Some(format!("spoilt by the network behind {}, and ended as whole", attempt.at));
+        }
+        let left_open = asked.ended.saturating_sub(spoilt);
+        let is_late = left_open > WAIT_BEHIND_EVENT + self.lateness;
+        is_late.then(|| format!("left open for {} ms behind what spoilt it", left_open / MS))
+    }
+
     /// Nothing that must not runs twice; one attempt at a time, four at most.
     fn repeated(&self, asked: &Asked, attempts: &[&Attempt]) -> Option<String> {
         let runs = attempts.iter().filter(|attempt| attempt.role == Role::Write && attempt.ran).count();
--- a/rig/src/soak/judge/tests.rs
+++ b/rig/src/soak/judge/tests.rs
@@ -181,3 +181,21 @@
     history.endings.pop();
     finds(&history, "its answer was cut");
 }
+
+/// Guards against a rule on spoilt streams that finds none, or each.
+#[test]
+fn a_stream_that_stays_open_behind_what_spoilt_it_is_found() {
+    let spoilt_in = |request_begun, spoilt| {
+        let mut attempts = served();
+        attempts[1].events = vec![SENT + 60 * MS];
+        attempts[1].connection = Connection::spoilt_at(spoilt, request_begun);
+        attempts
+    };
+    let ended = |whole, after| Asked { ended: SENT + after, ..asked(SAFE, answer(200, whole, 70 * MS)) };
+    let (own, spoilt) = (SENT + 30 * MS, SENT + 80 * MS);
+    finds(&history(ended(false, 5_200 * MS), spoilt_in(own, spoilt)), "left open for 5120 ms");
+    finds(&history(ended(true, 90 * MS), spoilt_in(own, spoilt)), "ended as whole");
+    assert_eq!(history(ended(false, 4_900 * MS), spoilt_in(own, spoilt)).findings(), Vec::<String>::new());
+    // The answer to another request on the connection was spoilt.
+    assert_eq!(history(ended(true, 90 * MS), spoilt_in(own + MS, spoilt)).findings(), Vec::<String>::new());
+}
--- a/rig/src/soak/mod.rs
+++ b/rig/src/soak/mod.rs
@@ -11,3 +11,4 @@
 pub mod network;
 pub mod servers;
 pub mod slowness;
+pub mod spoiling;
--- a/rig/src/soak/network.rs
+++ b/rig/src/soak/network.rs
@@ -11,6 +11,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use super::spoiling::{self, Spoiling};
 use crate::{Clock, Micros};
 
 /// Bytes read at once.
@@ -67,6 +68,8 @@
     Pieces,
     /// The end of the connection is not passed on.
     KeepsEnd,
+    /// From the next end of a head or chunk on something else comes.
+    Spoils(Spoiling),
 }
 
 /// What befalls one connection: after so many bytes of a way.
@@ -105,6 +108,8 @@
     disturbed: AtomicBool,
     /// The far side has taken it.
     taken: AtomicBool,
+    /// When the network spoilt what goes back; 0 where it did not.
+    spoilt: AtomicU64,
 }
 
 impl Connection {
@@ -137,6 +142,11 @@
         self.disturbed.load(Ordering::Relaxed)
     }
 
+    /// When the network spoilt what goes back.
+    pub fn spoilt(&self) -> Option<Micros> {
+        Some(self.spoilt.load(Ordering::Relaxed)).filter(|&at| at > 0)
+    }
+
     /// Whether the far side has taken it.
     pub fn taken(&self) -> bool {
         self.taken.load(Ordering::Relaxed)
@@ -157,6 +167,15 @@
         connection
     }
 
+    /// One on which the answer to the request that began at a time was spoilt.
+    #[cfg(test)]
+    pub fn spoilt_at(spoilt: Micros, request_begun: Micros) -> Arc<Self> {
+        let connection = Self::silent(0);
+        connection.request_begun.store(request_begun, Ordering::Relaxed);
+        connection.spoilt.store(spoilt, Ordering::Relaxed);
+        connection
+    }
+
     /// One that was opened then.
     #[cfg(test)]
     pub fn opened_at(opened: Micros) -> Arc<Self> {
@@ -325,7 +344,19 @@
             }
             let mut bytes = &buffer[..read];
             if let Some(due) = plan.filter(|plan| seen + read as u64 > plan.after) {
-                let (before, after) = bytes.split_at((due.after.saturating_sub(seen)) as usize);
+                let mut passed = due.after.saturating_sub(seen) as usize;
+                if let Trouble::Spoils(_) = due.trouble {
+                    let Some(boundary) = spoiling::boundary(&bytes[passed..]) else {
+                        seen += read as u64;
+                        if lost || !self.passes(&connection, way).await || to.write_all(bytes).await.is_err()
+                        {
+                            return;
+                        }
+                        continue;
+                    };
+                    passed += boundary;
+                }
+                let (before, after) = bytes.split_at(passed);
                 plan = None;
                 if due.trouble != Trouble::Pieces {
                     connection.disturb();
@@ -348,6 +379,10 @@
                     }
                     Trouble::Pieces => in_pieces = true,
                     Trouble::KeepsEnd => keeps_end = true,
+                    Trouble::Spoils(spoiling) => {
+                        connection.spoilt.store(clock.now(), Ordering::Relaxed);
+                        return spoil(&mut to, spoiling).await;
+                    }
                 }
             }
             seen += read as u64;
@@ -382,6 +417,20 @@
     true
 }
 
+/// Goes on with something else in place of an answer, until nobody reads it.
+async fn spoil(to: &mut OwnedWriteHalf, spoiling: Spoiling) {
+    if to.write_all(spoiling.start().as_bytes()).await.is_err() {
+        return;
+    }
+    for _ in 0..spoiling::PIECES {
+        if to.write_all(spoiling.piece().as_bytes()).await.is_err() {
+            return;
+        }
+        tokio::time::sleep(spoiling::INTERVAL).await;
+    }
+    std::future::pending::<()>().await;
+}
+
 /// Both sides get a reset.
 fn reset(from: &OwnedReadHalf, to: &OwnedWriteHalf) {
     // Closing would tell an end in order: both ways have handles of their own.
