Compare the media type of an answer without case, as HTTP has it

What callers saw: a stream declared as Text/Event-Stream was passed on as it came, and none of what spoils a stream was looked for in it.

Cause: the content type was compared as bytes. Change: the media type alone is compared, without case. Result: media_types_are_compared_without_case_and_parameters; it fails on the code before in its second line.

--- a/src/node/upstream/events.rs
+++ b/src/node/upstream/events.rs
@@ -41,6 +41,8 @@
 /// Part of a stream in whole events, or the error that ended the stream.
 pub type StreamChunk = Result<Bytes, StreamError>;
 
+/// Media type of a stream of events.
+const EVENT_STREAM: &str = "text/event-stream";
 /// Most that is held before the first event is whole. The buffers behind it are empty until then.
 const MAX_HELD_FIRST_BYTES: usize = 12 * 1024;
 
@@ -56,7 +58,9 @@
 impl AnswerHead {
     /// Returns whether the answer is a stream of events.
     pub fn is_event_stream(&self) -> bool {
-        self.content_type.as_ref().is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"))
+        let content_type = self.content_type.as_ref().and_then(|value| value.to_str().ok());
+        let media_type = content_type.and_then(|value| value.split(';').next());
+        media_type.is_some_and(|media_type| media_type.trim().eq_ignore_ascii_case(EVENT_STREAM))
     }
 }
 
@@ -301,3 +305,6 @@
             matches!(error.kind(), io::ErrorKind::InvalidInput | io::ErrorKind::InvalidData)
         })
 }
+
+#[cfg(test)]
+mod tests;
