Property test: requests in every form that HTTP allows reach their instances whole

What was missing: the clients' side of what HTTP allows. Change: 60 drawn requests against the real program: targets in origin and absolute form, names in any case, spaces, empty lines in front, Expect, chunks with extensions and trailers, pieces. Each has to reach reader and writer with its path, query and body unchanged, and come back whole.

Extensions stay under the 16 KiB for a whole request that the HTTP library allows; RFC 9112, 7.1.1, advises servers to have such a limit.

--- a/tests/clients/main.rs
+++ b/tests/clients/main.rs
@@ -3,6 +3,7 @@
 
 mod departures;
 mod floods;
+mod forms;
 mod ids;
 mod memory;
 #[path = "../player/mod.rs"]
--- a/tests/clients/stand_ins.rs
+++ b/tests/clients/stand_ins.rs
@@ -60,8 +60,17 @@
 /// The largest that the pages name.
 pub const AMPLE: Limits = Limits { memory_mb: 192, sockets: 1_024 };
 
-/// When each instance had a request whole, by request id.
-type Arrivals = Arc<Mutex<HashMap<String, Vec<(&'static str, Instant)>>>>;
+/// A request that an instance had whole.
+#[derive(Clone)]
+pub struct Arrival {
+    pub instance: &'static str,
+    pub at: Instant,
+    pub head: String,
+    pub body: Vec<u8>,
+}
+
+/// What instances had whole, by request id.
+type Arrivals = Arc<Mutex<HashMap<String, Vec<Arrival>>>>;
 
 /// Discovery, a reader and a writer.
 pub struct Fleet {
@@ -128,9 +137,16 @@
 
     /// When this instance had requests with this id, whole.
     pub fn arrivals(&self, instance: &str, id: &str) -> Vec<Instant> {
-        let arrivals = self.arrivals.lock().expect("no panic");
-        let at = arrivals.get(id).into_iter().flatten();
-        at.filter(|(name, _)| *name == instance).map(|(_, at)| *at).collect()
+        self.arrived(id)
+            .iter()
+            .filter(|arrival| arrival.instance == instance)
+            .map(|arrival| arrival.at)
+            .collect()
+    }
+
+    /// The requests with this id that instances had, whole.
+    pub fn arrived(&self, id: &str) -> Vec<Arrival> {
+        self.arrivals.lock().expect("no panic").get(id).cloned().unwrap_or_default()
     }
 
     /// How many requests with ids that begin with this text reached an instance.
@@ -269,13 +285,15 @@
 fn serve(slow: SlowSocket, name: &'static str, manner: Manner, arrivals: &Arrivals) -> Option<()> {
     let mut socket = slow.socket.try_clone().ok()?;
     let mut lines = BufReader::new(slow);
-    while let Some((head, _)) = message(&mut lines) {
+    while let Some((head, body)) = message(&mut lines) {
         if !head.starts_with("POST") {
             socket.write_all(b"HTTP/1.1 204 No Content\r\n\r\n").ok()?;
             continue;
         }
-        let id = head.lines().find_map(|line| line.strip_prefix("request-id: ")).unwrap_or_default();
-        arrivals.lock().expect("no panic").entry(id.to_owned()).or_default().push((name, Instant::now()));
+        let id =
+            head.lines().find_map(|line| line.strip_prefix("request-id: ")).unwrap_or_default().to_owned();
+        let arrival = Arrival { instance: name, at: Instant::now(), head, body };
+        arrivals.lock().expect("no panic").entry(id.clone()).or_default().push(arrival);
         if name == "r1" {
             std::thread::sleep(manner.reading);
             write!(socket, "HTTP/1.1 202 OK\r\nContent-Length: 19\r\n\r\n{{\"cached_tokens\":10}}").ok()?;
