--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -1,6 +1,7 @@
 //! Starts real conductors on loopback with stand-in instances and discovery, sends them load, breaks things between them,
 //! and checks the history of what clients, instances and operators saw. It knows the program by its sockets alone.
 
+pub mod bad_clients;
 pub mod check;
 pub mod conductor;
 pub mod faults;
--- a/rig/src/slow_servers/client.rs
+++ b/rig/src/slow_servers/client.rs
@@ -58,7 +58,8 @@
 }
 
 impl Request {
-    fn text(&self) -> String {
+    /// Returns what is written.
+    pub fn text(&self) -> String {
         let is_stream = self.front != Front::ChatWhole;
         let body = format!(
             "{{\"model\":\"{}\",\"stream\":{is_stream},\"max_tokens\":20,\"messages\":[{{\"role\":\"user\",\"content\":\"{}\"}}]}}",
--- a/rig/src/slow_servers/play.rs
+++ b/rig/src/slow_servers/play.rs
@@ -91,6 +91,17 @@
     pub findings: Vec<Finding>,
 }
 
+/// A conductor that takes clients, and its servers.
+pub struct Started {
+    /// The conductor.
+    pub conductor: Conductor,
+    /// The clock of all records.
+    pub clock: Clock,
+    /// What the servers see.
+    pub record: Record,
+    _folder: tempfile::TempDir,
+}
+
 /// What came of a play.
 #[derive(Clone, Debug)]
 pub struct Report {
@@ -152,8 +163,8 @@
         Ok(addresses)
     }
 
-    /// Plays it with this program, into which `preload` is loaded. The servers run until the runtime ends.
-    pub async fn run(&self, program: &Path, preload: Option<&Path>) -> std::io::Result<Report> {
+    /// Starts servers and a conductor, into which `preload` is loaded. The servers run until the runtime ends.
+    pub async fn set_up(&self, program: &Path, preload: Option<&Path>) -> std::io::Result<Started> {
         let (clock, home) = (Clock::default(), free_home()?);
         let record = Record::new(clock);
         let readers = self.servers(Role::Read, READERS, &record).await?;
@@ -177,9 +188,15 @@
         if !conductor.ready().await {
             return Err(std::io::Error::other("the program takes no clients"));
         }
-        let played = self.ask_all(&conductor.place, clock, &record).await?;
-        conductor.kill().await;
-        Ok(Report { played, log: conductor.lines.from(0) })
+        Ok(Started { conductor, clock, record, _folder: folder })
+    }
+
+    /// Plays it with this program, into which `preload` is loaded. The servers run until the runtime ends.
+    pub async fn run(&self, program: &Path, preload: Option<&Path>) -> std::io::Result<Report> {
+        let mut started = self.set_up(program, preload).await?;
+        let played = self.ask_all(&started.conductor.place, started.clock, &started.record).await?;
+        started.conductor.kill().await;
+        Ok(Report { played, log: started.conductor.lines.from(0) })
     }
 
     async fn ask_all(&self, place: &Place, clock: Clock, record: &Record) -> std::io::Result<Vec<Played>> {
