Find a chunk within another one's data by its size and end, not by its line alone

What callers would have seen: a sound stream with a line of hexadecimal digits that ends with CR and LF, a field that the format allows, was cut.

Cause: "Take the size of a chunk among the events" took such a line for the size of a swallowed chunk.

Change: answer_framing looks within a chunk's data for the end of a line, a size, and behind as many bytes the end of a line; only that is a chunk within a chunk.

--- a/src/node/upstream/answer_framing.rs
+++ b/src/node/upstream/answer_framing.rs
@@ -2,10 +2,14 @@
 //! and 7). Rejects framing that no answer can keep to, which the HTTP library accepts: it passes on what has come of a
 //! chunk, whatever size the chunk states. No I/O.
 
+mod embedded_chunk;
+
 use bytes::{BufMut, BytesMut};
 use httparse::{EMPTY_HEADER, Header, Response, Status};
 use hyper::StatusCode;
 
+use self::embedded_chunk::EmbeddedChunk;
+
 /// Largest chunk, and largest stated length of a body. A body of the platform holds 256 KiB at most.
 pub const MAX_STATED_BYTES: u64 = 16 * 1024 * 1024;
 /// Longest line that states a chunk's size: digits, spaces and extensions.
@@ -34,6 +38,9 @@
     /// The data of a chunk are not followed by the end of a line.
     #[error("a chunk does not end where its size says")]
     ChunkWithoutEnd,
+    /// Within the data of a chunk its end and a further chunk were found: its size is too large.
+    #[error("a chunk holds another one")]
+    ChunkWithinChunk,
 }
 
 /// Where in the framing the next byte lies.
@@ -78,12 +85,19 @@
     state: State,
     /// The head as far as it has come.
     head: BytesMut,
+    /// Looks for a further chunk within the data of the latest one.
+    embedded_chunk: EmbeddedChunk,
     progress: FramingProgress,
 }
 
 impl Default for AnswerFraming {
     fn default() -> Self {
-        AnswerFraming { state: State::Head, head: BytesMut::new(), progress: FramingProgress::default() }
+        AnswerFraming {
+            state: State::Head,
+            head: BytesMut::new(),
+            embedded_chunk: EmbeddedChunk::default(),
+            progress: FramingProgress::default(),
+        }
     }
 }
 
@@ -121,7 +135,7 @@
                     return Ok(());
                 }
                 State::Head => self.follow_head(input, output)?,
-                State::Data { remaining } => self.follow_data(input, remaining, output),
+                State::Data { remaining } => self.follow_data(input, remaining, output)?,
                 _ => {
                     self.follow_byte(input[0], output)?;
                     1
@@ -155,15 +169,22 @@
     }
 
     /// Takes data of a chunk, and returns how many bytes.
-    fn follow_data(&mut self, input: &[u8], remaining: u64, output: &mut impl BufMut) -> usize {
+    fn follow_data(
+        &mut self, input: &[u8], remaining: u64, output: &mut impl BufMut,
+    ) -> Result<usize, FramingFault> {
         let taken = usize::try_from(remaining).unwrap_or(usize::MAX).min(input.len());
+        let found_at = input[..taken].iter().position(|&byte| self.embedded_chunk.follow(byte));
+        if let Some(found_at) = found_at {
+            output.put_slice(&input[..found_at]);
+            return Err(FramingFault::ChunkWithinChunk);
+        }
         output.put_slice(&input[..taken]);
         self.progress.chunk_received += taken as u64;
         self.state = match remaining - taken as u64 {
             0 => State::DataCarriageReturn,
             remaining => State::Data { remaining },
         };
-        taken
+        Ok(taken)
     }
 
     /// Takes one byte around the data of a chunk.
@@ -216,6 +237,7 @@
 
     /// Begins the data of a chunk of this size; the last chunk has none, and trailers follow it.
     fn begin_chunk(&mut self, size: u64) -> State {
+        self.embedded_chunk = EmbeddedChunk::default();
         match size {
             0 => State::Unfollowed,
             remaining => State::Data { remaining },
--- a/src/node/upstream/answer_framing/tests.rs
+++ b/src/node/upstream/answer_framing/tests.rs
@@ -146,3 +146,34 @@
     assert_eq!(framing.follow(whole.as_bytes(), &mut output), Ok(()));
     assert_eq!(output, whole.as_bytes());
 }
+
+proptest! {
+    /// Guards against chunks that a larger size in front swallows, and that are passed on as its data.
+    #[test]
+    fn a_chunk_within_the_data_of_another_is_found(
+        first in "[a-z {}\":\n]{0,60}", inner in "[a-z {}\":\n]{1,60}", extension in "(;[a-z]{0,5})?",
+        lengths in prop::collection::vec(1_usize..60, 1..5),
+    ) {
+        let start = format!("{HEAD}{:x}\r\n{first}\r\n{:x}{extension}\r\n{inner}\r", first.len() + 5_000, inner.len());
+        prop_assert_eq!(follow(start.as_bytes(), &lengths).1, None);
+        let fault = follow(format!("{start}\n").as_bytes(), &lengths).1;
+        prop_assert_eq!(fault.map(|(fault, _)| fault), Some(FramingFault::ChunkWithinChunk));
+    }
+}
+
+/// Guards against data that are taken for a chunk within a chunk.
+#[test]
+fn lines_that_only_look_like_a_size_are_data() {
+    let texts = [
+        "data: a\r\n: 5f\r\n\r\n",
+        "data: b\r\nd\r\ndata: c\r\n\r\n",
+        "[\r\n1,\r\n2\r\n]\r\n",
+        "a\r\nbeef\r\n\r\n",
+    ];
+    for text in texts {
+        let answer = format!("{HEAD}{:x}\r\n{text}\r\n0\r\n\r\n", text.len());
+        for length in 1..answer.len() {
+            assert_eq!(follow(answer.as_bytes(), &[length]), (answer.clone().into_bytes(), None), "{text:?}");
+        }
+    }
+}
