Drop comments in front of the first event however the transport cuts them

What callers saw: a server that sent only long comments, cut within their lines, brought 200 and no answer by the client's time, where a refusal, a failure or another server was due (named open by the incident of the streams left waiting).

Cause: over 12 kB held before the first event, any bytes of a block that is not complete counted as a part of an event, and forwarding began. Found beside it: a part of a long event that is forwarded was looked at as though it began with a line, so a comment with data: at the cut counted as data.

Change: forwarding begins with a part that holds data; before that, whole blocks without data are dropped, and of the block that is not complete its comments, so that what is left of a line stays a comment. The framer knows whether a forwarded part ends within a line, and holds a line back until it can tell whether it has data.

--- a/rig/src/slow_servers/campaign.rs
+++ b/rig/src/slow_servers/campaign.rs
@@ -46,6 +46,7 @@
         Slowness::BeforeFirstEvent(ms(900)),
         Slowness::BeforeFirstEvent(ms(20_000)),
         Slowness::CommentsOnly(ms(300)),
+        Slowness::CommentsInPieces(ms(20)),
         Slowness::BetweenEvents(ms(2_500)),
         Slowness::BetweenEvents(ms(4_500)),
         Slowness::BetweenEvents(ms(5_600)),
--- a/rig/src/slow_servers/script.rs
+++ b/rig/src/slow_servers/script.rs
@@ -24,6 +24,8 @@
     "{\"choices\":[{\"index\":0,\"message\":{\"content\":\"w\"},\"finish_reason\":\"stop\"}]}";
 /// The event that ends a stream.
 pub const END_MARK: &str = "data: [DONE]\n\n";
+/// Length of a long comment.
+const LONG_COMMENT_BYTES: usize = 400;
 /// A comment.
 pub const COMMENT: &str = ": still here\n\n";
 
@@ -40,6 +42,8 @@
     BeforeFirstEvent(Duration),
     /// It sends comments at this interval in place of the first event, and never an event.
     CommentsOnly(Duration),
+    /// The same with long comments, each in two pieces.
+    CommentsInPieces(Duration),
     /// Its first event has so many bytes and goes out in pieces, with a pause before each.
     WithinFirstEvent(usize, Duration),
     /// It waits between events.
@@ -176,7 +180,8 @@
         Slowness::BeforeFirstEvent(pause) => script.push(pause, JSON_ANSWER, true),
         Slowness::WithinFirstEvent(_, pause)
         | Slowness::EndlessEvent(pause)
-        | Slowness::CommentsOnly(pause) => script.push_slowly(pause, JSON_ANSWER),
+        | Slowness::CommentsOnly(pause)
+        | Slowness::CommentsInPieces(pause) => script.push_slowly(pause, JSON_ANSWER),
         Slowness::StopsBehindEvent | Slowness::StopsWithinEvent(_) => {
             script.push(Duration::ZERO, &JSON_ANSWER[..20], false);
             script.is_whole = false;
@@ -190,6 +195,15 @@
     match slowness {
         Slowness::BeforeFirstEvent(pause) => script.push_chunk(pause, &usual, true),
         Slowness::CommentsOnly(interval) => return write_comments(script, interval),
+        Slowness::CommentsInPieces(interval) => {
+            let comment = format!(": {}\n\n", "c".repeat(LONG_COMMENT_BYTES));
+            let (start, end) = comment.split_at(LONG_COMMENT_BYTES / 2);
+            // The last piece of each comment goes with the first one of the next.
+            script.push_chunk(interval, start, false);
+            script.push_repeated(interval, chunk(&format!("{end}{start}")), ENDLESS_STEPS);
+            script.is_whole = false;
+            return;
+        }
         Slowness::WithinFirstEvent(bytes, pause) => script.push_pieces(&event(bytes), 8, pause),
         _ => script.push_chunk(USUAL_PAUSE, &usual, true),
     }
--- a/src/node/upstream/events.rs
+++ b/src/node/upstream/events.rs
@@ -139,22 +139,17 @@
                 _ => return Err(Outcome::Broken),
             }
             let has_event = self.progress.events > 0 || self.has_ended;
-            if has_event || held.len() > MAX_HELD_FIRST_BYTES && self.is_within_event() {
+            let is_full = held.len() > MAX_HELD_FIRST_BYTES;
+            if has_event || is_full && self.framer.as_ref().is_none_or(Framer::has_forwarded_data) {
                 self.first_events = Some(held.freeze());
                 return Ok(());
             }
-            if held.len() > MAX_HELD_FIRST_BYTES {
-                // Comments alone: no client misses them.
-                held.clear();
+            if let Some(framer) = self.framer.as_ref().filter(|_| is_full) {
+                framer.drop_comments(&mut held);
             }
         }
     }
 
-    /// Returns whether a part of an event was received that is not whole.
-    fn is_within_event(&self) -> bool {
-        self.framer.as_ref().is_some_and(Framer::is_within_event)
-    }
-
     /// Sets until when the client waits for its final answer, once forwarding begins: for the first event, where only a part of
     /// it has arrived, or for the end of an answer that the client gets in one piece.
     pub fn bound_final_answer(&mut self, deadline: Instant, is_unary: bool) {
--- a/src/node/upstream/framer.rs
+++ b/src/node/upstream/framer.rs
@@ -9,8 +9,8 @@
 /// memory however large its events are.
 pub const MAX_HELD_EVENT_BYTES: usize = 4 * 1024;
 
-/// Most digits of a chunk's size.
-const MAX_CHUNK_SIZE_DIGITS: usize = 16;
+/// Start of a line that holds data.
+const DATA_FIELD: &[u8] = b"data:";
 
 /// The received bytes are not an event stream.
 #[derive(Debug, thiserror::Error)]
@@ -42,6 +42,8 @@
     has_error: bool,
     /// Whether the part of an event that was forwarded already has a data line.
     forwarded_data: bool,
+    /// Whether that part ends within a line.
+    is_within_line: bool,
 }
 
 #[derive(Deserialize)]
@@ -78,7 +80,10 @@
         let part = self.incomplete.split_to(part_len);
         self.checked_bytes -= part_len;
         self.forwarded_bytes += part_len;
-        self.forwarded_data |= has_data_line(&part);
+        if let Some(last) = part.last() {
+            self.forwarded_data |= has_data_line(&part, self.is_within_line);
+            self.is_within_line = !is_line_end(last);
+        }
         whole_events.unsplit(part);
         // What is forwarded may wait for long, and would keep the whole buffer.
         let bytes = Bytes::copy_from_slice(&whole_events);
@@ -94,12 +99,27 @@
             return false;
         }
         self.forwarded_bytes = 0;
-        std::mem::take(&mut self.forwarded_data) || has_data_line(blocks)
+        let is_within_line = std::mem::take(&mut self.is_within_line);
+        std::mem::take(&mut self.forwarded_data) || has_data_line(blocks, is_within_line)
+    }
+
+    /// Returns whether a part with data was forwarded of an event that is not complete.
+    pub fn has_forwarded_data(&self) -> bool {
+        self.forwarded_data
     }
 
-    /// Returns whether a part of an event was forwarded, or is held, that is not complete.
-    pub fn is_within_event(&self) -> bool {
-        self.forwarded_bytes > 0 || !self.incomplete.is_empty()
+    /// Drops from what was forwarded, and is held elsewhere, that which no client misses while no event has come: whole blocks
+    /// without data, and comments of the block that is not complete. What is left of a comment's line stays a comment.
+    pub fn drop_comments(&self, held: &mut BytesMut) {
+        let incomplete_block = held.split_off(held.len() - self.forwarded_bytes.min(held.len()));
+        *held = incomplete_block;
+        if !lines(held).all(|line| line.is_empty() || line.starts_with(b":")) {
+            return;
+        }
+        held.clear();
+        if self.is_within_line {
+            held.extend_from_slice(b":");
+        }
     }
 
     /// Returns whether an event has reported an error.
@@ -108,7 +128,8 @@
     }
 
     /// Checks the event that is not complete, and returns how much of it is forwarded because it is too long to be held. The
-    /// last line ends stay: they may begin the empty line that ends the event.
+    /// last line ends stay: they may begin the empty line that ends the event. So does a line of which too little has come to tell
+    /// whether it holds data.
     fn part_len(&mut self) -> Result<usize, MalformedEvents> {
         let event = &self.incomplete[..];
         let unchecked = &event[self.checked_bytes..];
@@ -118,7 +139,7 @@
             Err(error) if error.error_len().is_none() => error.valid_up_to(),
             Err(_) => return Err(MalformedEvents),
         };
-        if has_chunk_size(event, self.checked_bytes) || unchecked.iter().any(is_control) {
+        if unchecked.iter().any(is_control) {
             return Err(MalformedEvents);
         }
         if self.forwarded_bytes + event.len() > MAX_EVENT_BYTES {
@@ -129,8 +150,11 @@
         if self.is_chat || event.len() <= MAX_HELD_EVENT_BYTES {
             return Ok(0);
         }
-        let line_ends = event[..text_len].iter().rev().take_while(|byte| b"\r\n".contains(byte)).count();
-        Ok(text_len - line_ends)
+        let line_start = event[..text_len].iter().rposition(is_line_end).map_or(0, |index| index + 1);
+        let is_short_line = line_start > 0 && text_len - line_start < DATA_FIELD.len();
+        let part_end = if is_short_line { line_start } else { text_len };
+        let line_ends = event[..part_end].iter().rev().take_while(|byte| is_line_end(byte)).count();
+        Ok(part_end - line_ends)
     }
 
     /// Checks that whole events are text, and looks for the end mark and errors of a chat stream.
@@ -138,9 +162,6 @@
         if std::str::from_utf8(events).is_err() || events.iter().any(is_control) {
             return Err(MalformedEvents);
         }
-        if has_chunk_size(events, 0) {
-            return Err(MalformedEvents);
-        }
         if self.is_chat {
             lines(events).for_each(|line| self.inspect_line(line.trim_ascii()));
         }
@@ -180,32 +201,19 @@
     (checked_bytes..bytes.len()).rev().find(ends_empty_line).map_or(0, |index| index + 1)
 }
 
-/// Returns whether one of the lines that end behind the checked bytes is that of a chunk's size.
-fn has_chunk_size(text: &[u8], checked_bytes: usize) -> bool {
-    let mut line_ends = (checked_bytes..text.len()).filter(|&index| text[index] == b'\n');
-    line_ends.any(|end| {
-        let line_start = text[..end].iter().rposition(|&byte| byte == b'\n').map_or(0, |index| index + 1);
-        is_chunk_size(&text[line_start..end])
-    })
-}
-
-/// Returns whether a line, up to its line feed, is that of a chunk's size: it stands among events where a chunk in front states
-/// more bytes than it has.
-fn is_chunk_size(line: &[u8]) -> bool {
-    let Some(text) = line.strip_suffix(b"\r") else { return false };
-    let digits = text.iter().take_while(|byte| byte.is_ascii_hexdigit()).count();
-    (1..=MAX_CHUNK_SIZE_DIGITS).contains(&digits)
-        && matches!(text.get(digits), None | Some(b';' | b' ' | b'\t'))
+fn is_line_end(byte: &u8) -> bool {
+    matches!(byte, b'\r' | b'\n')
 }
 
 /// Returns the lines of a text, and empty ones between CR and LF.
 fn lines(text: &[u8]) -> impl Iterator<Item = &[u8]> {
-    text.split(|byte| b"\r\n".contains(byte))
+    text.split(is_line_end)
 }
 
-/// Returns whether one of the lines holds data.
-fn has_data_line(text: &[u8]) -> bool {
-    lines(text).any(|line| line == b"data" || line.starts_with(b"data:"))
+/// Returns whether one of the lines that begin in a text holds data.
+fn has_data_line(text: &[u8], starts_within_line: bool) -> bool {
+    let mut lines = lines(text).skip(usize::from(starts_within_line));
+    lines.any(|line| line == b"data" || line.starts_with(DATA_FIELD))
 }
 
 /// Returns whether the byte is a control character that text does not contain. JSON allows U+007F unescaped.
--- a/tests/slow_servers.rs
+++ b/tests/slow_servers.rs
@@ -118,6 +118,7 @@
         Slowness::BeforeFirstEvent(ms(20_000)),
         Slowness::CommentsOnly(ms(300)),
         Slowness::CommentsOnly(ms(2)),
+        Slowness::CommentsInPieces(ms(20)),
         Slowness::WithinFirstEvent(600, ms(100)),
         Slowness::WithinFirstEvent(600, ms(900)),
         Slowness::WithinFirstEvent(9_000, ms(900)),
